Serve a request from end to end through one router

Cause: the repository was empty; every later part needs a path to stand on.

Change: the libraries core, kernel, settings, platform, telemetry and router, the binary with `router`, `config check` and `addresses`, stand-ins for a model engine and for the platform, unit tests, and the scripts for format, lint and tests. A router that decides alone (policies `split` and `random`) places the requests for now.

--- /dev/null
+++ b/include/mallowglade/detail/router/claim_service.hpp
@@ -0,0 +1,60 @@
+#pragma once
+
+#include <mallowglade/core.hpp>
+#include <mallowglade/detail/router/dispatcher.hpp>
+
+#include <functional>
+#include <string>
+#include <variant>
+
+namespace mallowglade {
+
+/// @brief Names a non-idempotent request across repeats by its caller.
+struct IdempotencyKey {
+  WorkspaceId Workspace;
+  std::string Key;
+};
+
+/// @brief The request may run; nobody else may.
+struct ClaimGranted {};
+
+/// @brief Another request holds the key; its answer is the answer.
+struct ClaimHeldBy {
+  RouterId Router;
+  RequestId Request;
+};
+
+/// @brief No claim was made.
+struct ClaimRefused {
+  Refusal Reason;
+  /// True if the key is known never to have been claimed.
+  bool NeverClaimed = false;
+};
+
+/// @brief Reply to a claim.
+using ClaimReply = std::variant<ClaimGranted, ClaimHeldBy, ClaimRefused>;
+
+/// @brief How a claimed request ended.
+enum class ClaimEnd {
+  /// It ran or may have run; the key stays claimed.
+  Done,
+  /// It is proven not to have run; the key may be claimed again.
+  Released,
+};
+
+/// @brief Makes sure that a key runs at most once; control thread only.
+class ClaimService {
+public:
+  /// @brief Receives the reply, on the control thread, exactly once.
+  using Reply = std::function<void(ClaimReply)>;
+
+  virtual ~ClaimService() = default;
+  /// @brief Claims a key for a request.
+  virtual void claim(const IdempotencyKey &Key, const RequestId &Request,
+                     Reply Done) = 0;
+  /// @brief Reports the end of a claimed request.
+  virtual void settle(const IdempotencyKey &Key, const RequestId &Request,
+                      ClaimEnd End) = 0;
+};
+
+} // namespace mallowglade
--- /dev/null
+++ b/include/mallowglade/detail/router/http_server.hpp
@@ -0,0 +1,38 @@
+#pragma once
+
+#include <mallowglade/core.hpp>
+#include <mallowglade/kernel.hpp>
+
+#include <httplib.h>
+
+#include <atomic>
+
+namespace mallowglade {
+
+/// @brief Limits of a server towards its clients.
+struct HttpServerLimits {
+  /// Most connections served at once; further ones get 503 at once.
+  std::size_t MaxConnections = 0;
+  /// Time for the first bytes of a request; later ones need a minimum rate.
+  Milliseconds HeaderTimeout{};
+  std::uint64_t MaxBodyBytes = 0;
+};
+
+/// @brief HTTP server with limits that hold against slow clients.
+class HttpServer final : public httplib::Server {
+public:
+  /// @param Limits limits towards clients
+  explicit HttpServer(HttpServerLimits Limits);
+  /// @brief Ends idle connections soon; requests in progress go on.
+  void closeIdleConnections();
+
+private:
+  bool process_and_close_socket(socket_t Socket) override;
+  void serve(socket_t Socket);
+
+  HttpServerLimits Limits;
+  std::atomic<std::size_t> Connections{0};
+  std::atomic<bool> Closing{false};
+};
+
+} // namespace mallowglade
--- /dev/null
+++ b/include/mallowglade/detail/router/problem.hpp
@@ -0,0 +1,31 @@
+#pragma once
+
+#include <mallowglade/core.hpp>
+#include <mallowglade/outcomes.hpp>
+
+#include <string>
+
+namespace mallowglade {
+
+/// @brief A failure as the caller sees it (RFC 9457).
+struct Problem {
+  Error Reason;
+  Verdict Outcome = Verdict::NotRun;
+  RequestId Request;
+  /// When to come back; zero if there is no point in it.
+  Milliseconds RetryAfter{};
+};
+
+/// @brief Chooses the HTTP status of an error.
+/// @return status code from 400 to 599
+int statusOf(ErrorId Id);
+
+/// @brief Writes a problem document.
+/// @return JSON text of type `application/problem+json`
+std::string toJson(const Problem &Failure);
+
+/// @brief Rounds a delay up for the `Retry-After` header.
+/// @return whole seconds, at least 1
+std::int64_t retryAfterSeconds(Milliseconds Delay);
+
+} // namespace mallowglade
--- /dev/null
+++ b/include/mallowglade/detail/router/upstream_call.hpp
@@ -0,0 +1,54 @@
+#pragma once
+
+#include <mallowglade/core.hpp>
+#include <mallowglade/detail/router/dispatcher.hpp>
+
+#include <functional>
+#include <map>
+#include <string>
+
+namespace mallowglade {
+
+/// @brief What is sent to an upstream.
+struct UpstreamRequest {
+  std::string Method;
+  std::string Target;
+  std::map<std::string, std::string> Headers;
+  std::string Body;
+};
+
+/// @brief Status and headers of an upstream's reply.
+struct UpstreamHead {
+  int Status = 0;
+  std::string ContentType;
+  /// True if the upstream said that it closes down (`Connection: close` with
+  /// 503, or `X-Leaving: true`).
+  bool Leaving = false;
+  std::int64_t RetryAfterSeconds = 0;
+};
+
+/// @brief Receives an upstream's reply, on the calling thread.
+struct UpstreamReceiver {
+  std::function<void(const UpstreamHead &)> OnHead;
+  std::function<void(std::string_view)> OnBytes;
+};
+
+/// @brief Limits of one call.
+struct UpstreamLimits {
+  Milliseconds ConnectTimeout{};
+  /// Longest silence of the connection.
+  Milliseconds GapLimit{};
+};
+
+/// @brief Runs one attempt on a new connection and waits for its end.
+///
+/// Each attempt has a connection of its own: a connection that went silent
+/// is never reused, and a request is never handed to one that was already
+/// closed by its other end.
+/// @return how the attempt ended
+AttemptEnd callUpstream(const std::string &Address,
+                        const UpstreamRequest &Request,
+                        const UpstreamLimits &Limits,
+                        const UpstreamReceiver &Receiver);
+
+} // namespace mallowglade
--- /dev/null
+++ b/include/mallowglade/detail/router/upstream_directory.hpp
@@ -0,0 +1,40 @@
+#pragma once
+
+#include <mallowglade/core.hpp>
+
+#include <cstdint>
+#include <functional>
+#include <string>
+#include <vector>
+
+namespace mallowglade {
+
+/// @brief An upstream that may receive work.
+struct Upstream {
+  UpstreamId Id;
+  PoolId Pool;
+  std::string Address;
+  ZoneId Zone;
+  /// Most requests it accepts at once; 0 if not stated.
+  std::uint32_t MaxInFlight = 0;
+  /// Requests it reported as running or waiting, with a lag.
+  std::uint32_t ReportedInFlight = 0;
+  /// Age of the load report in milliseconds; negative if there is none.
+  std::int64_t ReportAgeMs = -1;
+};
+
+/// @brief The upstreams known to this router; control thread only.
+class UpstreamDirectory {
+public:
+  virtual ~UpstreamDirectory() = default;
+  /// @return upstreams of a pool that are not leaving and not down
+  virtual std::vector<Upstream> available(const PoolId &Pool) const = 0;
+  /// @brief Stops new work to an upstream that said it is leaving.
+  virtual void markLeaving(const UpstreamId &Id) = 0;
+  /// @brief Stops new work to an upstream until a probe succeeds.
+  virtual void markDown(const UpstreamId &Id) = 0;
+  /// @brief Registers a callback for changes, called on the control thread.
+  virtual void onChange(std::function<void()> Changed) = 0;
+};
+
+} // namespace mallowglade
--- /dev/null
+++ b/include/mallowglade/detail/settings/json_reader.hpp
@@ -0,0 +1,98 @@
+#pragma once
+
+#include <mallowglade/core.hpp>
+
+#include <nlohmann/json.hpp>
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace mallowglade {
+
+/// @brief Reads the members of a JSON object and checks them.
+///
+/// The first error is kept with the JSON pointer of the offending key; later
+/// reads return defaults. `finish` also rejects keys that nobody read.
+class JsonReader {
+public:
+  /// @brief Reads the root or a nested object.
+  /// @param Value JSON value that has to be an object
+  /// @param Path JSON pointer of the value
+  /// @param FirstError where the first error is kept
+  JsonReader(const nlohmann::json &Value, std::string Path,
+             std::optional<Error> &FirstError);
+
+  /// @brief Reads a required string.
+  std::string text(const std::string &Key);
+  /// @brief Reads an optional string.
+  std::string text(const std::string &Key, const std::string &Default);
+  /// @brief Reads a required whole number within bounds.
+  std::int64_t integer(const std::string &Key, std::int64_t Min,
+                       std::int64_t Max);
+  /// @brief Reads an optional whole number within bounds.
+  std::int64_t integer(const std::string &Key, std::int64_t Min,
+                       std::int64_t Max, std::int64_t Default);
+  /// @brief Reads an optional number within bounds.
+  double number(const std::string &Key, double Min, double Max, double Default);
+  /// @brief Reads a required number within bounds.
+  double number(const std::string &Key, double Min, double Max);
+  /// @brief Reads an optional truth value.
+  bool boolean(const std::string &Key, bool Default);
+  /// @brief Reads an optional list of strings.
+  std::vector<std::string> textList(const std::string &Key);
+  /// @brief Reads a required numeric address, `ip:port`.
+  std::string address(const std::string &Key);
+  /// @brief Reads an optional list of numeric addresses, `ip:port`.
+  std::vector<std::string> addressList(const std::string &Key);
+  /// @brief Reads an optional object; an absent one reads as empty.
+  JsonReader object(const std::string &Key);
+  /// @brief Reads an optional list of objects.
+  std::vector<JsonReader> objectList(const std::string &Key);
+  /// @brief Reads the members of an object whose keys are free names.
+  std::vector<std::pair<std::string, JsonReader>>
+  objectMap(const std::string &Key);
+  /// @brief Reads the members of an object whose values are numbers.
+  std::vector<std::pair<std::string, double>> numberMap(const std::string &Key,
+                                                        double Min, double Max);
+  /// @return true if the key is present
+  bool has(const std::string &Key) const;
+  /// @brief Rejects keys that were not read.
+  void finish();
+  /// @brief Records an error at a key of this object.
+  void fail(ErrorId Id, const std::string &Key, const std::string &Detail);
+  /// @return JSON pointer of this object
+  const std::string &path() const { return Path; }
+
+private:
+  const nlohmann::json *find(const std::string &Key, bool Required);
+  std::string pathOf(const std::string &Key) const;
+
+  const nlohmann::json *Object;
+  std::string Path;
+  std::optional<Error> *FirstError;
+  std::vector<std::string> Read;
+};
+
+/// @brief Checks a numeric address; host names are rejected.
+/// @param Text address as `ip:port` or `[ip]:port`
+/// @return true if the address is valid
+bool isNumericAddress(const std::string &Text);
+
+/// @brief A numeric address split into its parts.
+struct HostPort {
+  std::string Host;
+  std::uint16_t Port = 0;
+};
+
+/// @brief Splits a numeric address.
+/// @param Text a valid address, `ip:port`
+/// @return host and port
+HostPort splitAddress(const std::string &Text);
+
+/// @brief Parses JSON text without exceptions.
+/// @return the value, or `settings.invalid_json` with the byte offset
+Result<nlohmann::json> parseJson(const std::string &Text);
+
+} // namespace mallowglade
--- /dev/null
+++ b/include/mallowglade/outcomes.hpp
@@ -0,0 +1,7 @@
+#pragma once
+
+/// @file
+/// @brief Verdicts, attempts, claims and crash quarantine.
+
+#include <mallowglade/detail/outcomes/attempt_policy.hpp>
+#include <mallowglade/detail/outcomes/verdict.hpp>
--- /dev/null
+++ b/include/mallowglade/router.hpp
@@ -0,0 +1,6 @@
+#pragma once
+
+/// @file
+/// @brief The router daemon.
+
+#include <mallowglade/detail/router/app.hpp>
--- /dev/null
+++ b/include/mallowglade/settings.hpp
@@ -0,0 +1,8 @@
+#pragma once
+
+/// @file
+/// @brief Instance settings and the settings tree.
+
+#include <mallowglade/detail/settings/instance_settings.hpp>
+#include <mallowglade/detail/settings/json_reader.hpp>
+#include <mallowglade/detail/settings/tree.hpp>
--- /dev/null
+++ b/include/mallowglade/transport.hpp
@@ -0,0 +1,6 @@
+#pragma once
+
+/// @file
+/// @brief Messages between routers.
+
+#include <mallowglade/detail/transport/peer_network.hpp>
--- /dev/null
+++ b/src/cli/config_command.cpp
@@ -0,0 +1,31 @@
+#include <mallowglade/detail/cli/command.hpp>
+
+#include <mallowglade/settings.hpp>
+
+#include <fmt/format.h>
+#include <tclap/CmdLine.h>
+
+namespace mallowglade::detail {
+
+ExitCode runConfigCheck(std::vector<std::string> Arguments) {
+  TCLAP::CmdLine Line("Checks an instance settings file.", ' ', "0.1.0");
+  TCLAP::UnlabeledValueArg<std::string> File("file", "settings file (JSON)",
+                                             true, "", "FILE", Line);
+  Line.parse(Arguments);
+  bool Failed = false;
+  const std::string Text = readFile(File.getValue(), Failed);
+  if (Failed) {
+    fmt::print(stderr, "mallowglade: cannot read '{}'\n", File.getValue());
+    return ExitCode::Failed;
+  }
+  const Result<InstanceSettings> Settings = parseInstanceSettings(Text);
+  if (!isOk(Settings)) {
+    fmt::print(stderr, "{}: {}\n", File.getValue(),
+               toString(errorOf(Settings)));
+    return ExitCode::InvalidSettings;
+  }
+  fmt::print("{}: valid\n", File.getValue());
+  return ExitCode::Ok;
+}
+
+} // namespace mallowglade::detail
--- /dev/null
+++ b/src/main.cpp
@@ -0,0 +1,5 @@
+#include <mallowglade/cli.hpp>
+
+int main(int ArgumentCount, char **Arguments) {
+  return mallowglade::runCommandLine(ArgumentCount, Arguments);
+}
--- /dev/null
+++ b/src/router/app.cpp
@@ -0,0 +1,180 @@
+#include <mallowglade/router.hpp>
+
+#include <mallowglade/detail/router/answer.hpp>
+#include <mallowglade/detail/router/front_end.hpp>
+#include <mallowglade/detail/router/local_dispatcher.hpp>
+#include <mallowglade/detail/router/request_runner.hpp>
+#include <mallowglade/detail/router/static_services.hpp>
+#include <mallowglade/detail/router/upstream_service.hpp>
+
+#include <condition_variable>
+
+namespace mallowglade {
+
+namespace {
+
+constexpr std::size_t PlatformThreads = 8;
+constexpr Milliseconds PlatformCallTimeout{2'000};
+constexpr Milliseconds HousekeepingPeriod{100};
+
+LogLevel parseLevel(const std::string &Name) {
+  if (Name == "debug")
+    return LogLevel::Debug;
+  if (Name == "warning")
+    return LogLevel::Warning;
+  return Name == "error" ? LogLevel::Error : LogLevel::Info;
+}
+
+Incarnation startTime(const Clock &Time) {
+  const auto Since = std::chrono::duration_cast<Milliseconds>(
+      Time.wallNow().time_since_epoch());
+  return Incarnation(static_cast<std::uint64_t>(Since.count()));
+}
+
+} // namespace
+
+struct RouterApp::State {
+  explicit State(InstanceSettings Instance)
+      : Settings(std::move(Instance)),
+        Log(parseLevel(Settings.LogLevel),
+            Settings.LogFormat == "json" ? LogFormat::JsonLines
+                                         : LogFormat::Text,
+            Time),
+        Blocking(PlatformThreads), Attempts(Settings.MaxRequests),
+        Store(Settings.KeyValueEndpoints, PlatformCallTimeout),
+        Instances(Settings.InstanceListEndpoint, PlatformCallTimeout),
+        Answers(Settings.AnswerRetention, Settings.AnswerMemoryBytes),
+        Context{Settings, Time,  Log,       Measures, Control,
+                Blocking, Store, Instances, Services, startTime(Time)} {}
+
+  void buildServices();
+  void housekeeping();
+  void finishDrain();
+  void endNow();
+
+  InstanceSettings Settings;
+  SystemClock Time;
+  Logger Log;
+  Metrics Measures;
+  ControlThread Control;
+  BlockingPool Blocking;
+  BlockingPool Attempts;
+  EtcdStore Store;
+  HttpInstanceList Instances;
+  ServiceRegistry Services;
+  AnswerStore Answers;
+  RouterContext Context;
+  std::vector<std::shared_ptr<RouterPart>> Parts;
+  std::shared_ptr<LocalDispatcher> Local;
+  std::shared_ptr<RequestRunner> Runner;
+  std::shared_ptr<FrontEnd> Front;
+  std::optional<TimePoint> DrainStarted;
+  std::atomic<int> StopRequests{0};
+  std::mutex Mutex;
+  std::condition_variable Changed;
+  bool Stopped = false;
+};
+
+RouterApp::RouterApp(InstanceSettings Settings)
+    : Impl(std::make_unique<State>(std::move(Settings))) {}
+
+RouterApp::~RouterApp() {
+  Impl->Front->stop();
+  Impl->Control.stop();
+  Impl->Blocking.stop();
+  Impl->Attempts.stop();
+}
+
+void RouterApp::State::buildServices() {
+  Services.add<SettingsService>(
+      service_name::Settings,
+      std::make_shared<StaticSettings>(Settings.SeedTree));
+  Member Self;
+  Self.Id = RouterId(Settings.PeerAdvertise);
+  Self.Start = Context.Start;
+  Self.Zone = Settings.Zone;
+  Self.CallerAddress = Settings.Advertise;
+  Services.add<MemberService>(service_name::Members,
+                              std::make_shared<SingleMember>(Self));
+  Services.add<ClaimService>(service_name::Claims,
+                             std::make_shared<NoClaims>());
+  auto Upstreams = std::make_shared<UpstreamService>(Context);
+  Services.add<UpstreamDirectory>(service_name::Upstreams, Upstreams);
+  Parts.push_back(Upstreams);
+  Local = std::make_shared<LocalDispatcher>(Context, Settings.Policy == "random"
+                                                         ? LocalPolicy::Random
+                                                         : LocalPolicy::Split);
+  Services.add<Dispatcher>(service_name::Dispatcher, Local);
+  Runner = std::make_shared<RequestRunner>(Context, Answers, Attempts);
+  Front = std::make_shared<FrontEnd>(Context, Answers, Runner);
+  Services.add<AdminRoutes>(service_name::Admin, Front);
+}
+
+Result<Success> RouterApp::start() {
+  Impl->buildServices();
+  Impl->Control.start();
+  Impl->Control.post([this] {
+    for (const auto &Part : Impl->Parts)
+      Part->start();
+    Impl->housekeeping();
+  });
+  Impl->Control.postEvery(HousekeepingPeriod, [this] { Impl->housekeeping(); });
+  Result<Success> Started = Impl->Front->start();
+  if (isOk(Started))
+    Impl->Log.info("router started",
+                   {{"listen", Impl->Settings.Listen},
+                    {"availability_zone", Impl->Settings.Zone.Value}});
+  return Started;
+}
+
+void RouterApp::State::housekeeping() {
+  Local->tick();
+  Answers.expire(Time.now());
+  std::vector<std::string> Addresses;
+  const auto Members =
+      Services.find<MemberService>(service_name::Members)->alive();
+  for (const Member &Router : Members)
+    if (Router.AcceptsWork)
+      Addresses.push_back(Router.CallerAddress);
+  Front->publishAddresses(std::move(Addresses));
+  if (DrainStarted)
+    finishDrain();
+}
+
+void RouterApp::State::finishDrain() {
+  const auto Waited = Time.now() - *DrainStarted;
+  if (Waited >= Settings.AddressTtl)
+    Front->redirectNewRequests();
+  const bool Idle = Waited >= Settings.AddressTtl && Runner->active() == 0;
+  if (Idle || Waited >= Settings.DrainLimit)
+    endNow();
+}
+
+void RouterApp::State::endNow() {
+  const std::lock_guard<std::mutex> Lock(Mutex);
+  Stopped = true;
+  Changed.notify_all();
+}
+
+void RouterApp::requestStop() {
+  if (++Impl->StopRequests > 1) {
+    Impl->endNow();
+    return;
+  }
+  Impl->Control.post([this] {
+    Impl->Log.info("planned stop begins");
+    Impl->DrainStarted = Impl->Time.now();
+    Impl->Services.find<MemberService>(service_name::Members)
+        ->announceLeaving();
+    for (const auto &Part : Impl->Parts)
+      Part->drain();
+  });
+}
+
+void RouterApp::waitUntilStopped() {
+  std::unique_lock<std::mutex> Lock(Impl->Mutex);
+  Impl->Changed.wait(Lock, [this] { return Impl->Stopped; });
+  Impl->Log.info("router stopped");
+}
+
+} // namespace mallowglade
--- /dev/null
+++ b/src/router/problem.cpp
@@ -0,0 +1,81 @@
+#include <mallowglade/detail/router/problem.hpp>
+
+#include <nlohmann/json.hpp>
+
+namespace mallowglade {
+
+int statusOf(ErrorId Id) {
+  switch (Id) {
+  case ErrorId::InvalidJson:
+  case ErrorId::UnknownKey:
+  case ErrorId::MissingKey:
+  case ErrorId::WrongType:
+  case ErrorId::OutOfRange:
+  case ErrorId::InvalidReference:
+  case ErrorId::InvalidAddress:
+  case ErrorId::InvalidRequest:
+    return 400;
+  case ErrorId::Unauthenticated:
+    return 401;
+  case ErrorId::Forbidden:
+  case ErrorId::Quarantined:
+    return 403;
+  case ErrorId::NotFound:
+    return 404;
+  case ErrorId::Conflict:
+  case ErrorId::ClaimHeld:
+    return 409;
+  case ErrorId::AnswerGone:
+    return 410;
+  case ErrorId::TooLarge:
+    return 413;
+  case ErrorId::RateLimited:
+  case ErrorId::QueueFull:
+    return 429;
+  case ErrorId::ConnectFailed:
+  case ErrorId::ConnectionLost:
+  case ErrorId::UpstreamFailed:
+  case ErrorId::InvalidMessage:
+    return 502;
+  case ErrorId::Unavailable:
+  case ErrorId::QueueTimeout:
+  case ErrorId::NoCapacity:
+  case ErrorId::NotReady:
+  case ErrorId::Draining:
+  case ErrorId::ClaimUnavailable:
+    return 503;
+  case ErrorId::Timeout:
+    return 504;
+  case ErrorId::Cancelled:
+  case ErrorId::Internal:
+    return 500;
+  }
+  return 500;
+}
+
+std::int64_t retryAfterSeconds(Milliseconds Delay) {
+  constexpr std::int64_t MillisPerSecond = 1000;
+  const std::int64_t Rounded =
+      (Delay.count() + MillisPerSecond - 1) / MillisPerSecond;
+  return std::max<std::int64_t>(1, Rounded);
+}
+
+std::string toJson(const Problem &Failure) {
+  const std::string Id(toString(Failure.Reason.Id));
+  nlohmann::json Document{{"type", "urn:mallowglade:error:" + Id},
+                          {"title", Id},
+                          {"status", statusOf(Failure.Reason.Id)},
+                          {"detail", Failure.Reason.Detail},
+                          {"error_id", Id},
+                          {"outcome", toString(Failure.Outcome)}};
+  if (!Failure.Reason.Path.empty())
+    Document["instance"] = Failure.Reason.Path;
+  if (!Failure.Request.empty())
+    Document["request_id"] = Failure.Request.Value;
+  if (Failure.RetryAfter.count() > 0)
+    Document["retry_after_s"] = retryAfterSeconds(Failure.RetryAfter);
+  return Document.dump(-1, ' ', false,
+                       nlohmann::json::error_handler_t::replace);
+}
+
+} // namespace mallowglade
--- /dev/null
+++ b/src/router/upstream_call.cpp
@@ -0,0 +1,80 @@
+#include <mallowglade/detail/router/upstream_call.hpp>
+
+#include <mallowglade/settings.hpp>
+
+#include <httplib.h>
+
+namespace mallowglade {
+
+namespace {
+
+constexpr int ServiceUnavailable = 503;
+
+UpstreamHead parseHead(const httplib::Response &Response) {
+  UpstreamHead Head;
+  Head.Status = Response.status;
+  Head.ContentType = Response.get_header_value("Content-Type");
+  Head.Leaving = Response.get_header_value("X-Leaving") == "true";
+  Head.RetryAfterSeconds = std::strtoll(
+      Response.get_header_value("Retry-After").c_str(), nullptr, 10);
+  return Head;
+}
+
+httplib::Request makeRequest(const UpstreamRequest &Request) {
+  httplib::Request Message;
+  Message.method = Request.Method;
+  Message.path = Request.Target;
+  Message.body = Request.Body;
+  for (const auto &[Name, Value] : Request.Headers)
+    Message.set_header(Name, Value);
+  return Message;
+}
+
+AttemptEnd classify(httplib::Error Failure, std::chrono::nanoseconds SinceByte,
+                    Milliseconds GapLimit) {
+  if (Failure == httplib::Error::Connection ||
+      Failure == httplib::Error::ConnectionTimeout)
+    return AttemptEnd::ConnectFailed;
+  return SinceByte >= GapLimit ? AttemptEnd::Silent
+                               : AttemptEnd::ConnectionLost;
+}
+
+} // namespace
+
+AttemptEnd callUpstream(const std::string &Address,
+                        const UpstreamRequest &Request,
+                        const UpstreamLimits &Limits,
+                        const UpstreamReceiver &Receiver) {
+  const HostPort Target = splitAddress(Address);
+  httplib::Client Client(Target.Host, Target.Port);
+  Client.set_connection_timeout(Limits.ConnectTimeout);
+  Client.set_read_timeout(Limits.GapLimit);
+  Client.set_write_timeout(Limits.GapLimit);
+  Client.set_tcp_nodelay(true);
+  Client.set_decompress(false);
+  auto LastByte = std::chrono::steady_clock::now();
+  bool Refused = false;
+  httplib::Request Message = makeRequest(Request);
+  Message.response_handler = [&](const httplib::Response &Response) {
+    LastByte = std::chrono::steady_clock::now();
+    Refused = Response.status == ServiceUnavailable;
+    Receiver.OnHead(parseHead(Response));
+    return true;
+  };
+  Message.content_receiver = [&](const char *Data, std::size_t Size,
+                                 std::uint64_t, std::uint64_t) {
+    LastByte = std::chrono::steady_clock::now();
+    if (!Refused)
+      Receiver.OnBytes({Data, Size});
+    return true;
+  };
+  const httplib::Result Reply = Client.send(Message);
+  if (Refused)
+    return AttemptEnd::Refused;
+  if (Reply)
+    return AttemptEnd::Answered;
+  return classify(Reply.error(), std::chrono::steady_clock::now() - LastByte,
+                  Limits.GapLimit);
+}
+
+} // namespace mallowglade
--- /dev/null
+++ b/src/settings/json_reader.cpp
@@ -0,0 +1,276 @@
+#include <mallowglade/settings.hpp>
+
+#include <arpa/inet.h>
+
+#include <algorithm>
+#include <array>
+#include <charconv>
+
+namespace mallowglade {
+
+namespace {
+
+const nlohmann::json &emptyObject() {
+  static const nlohmann::json Empty = nlohmann::json::object();
+  return Empty;
+}
+
+std::string escapePointer(const std::string &Key) {
+  std::string Escaped;
+  for (const char C : Key) {
+    if (C == '~')
+      Escaped += "~0";
+    else if (C == '/')
+      Escaped += "~1";
+    else
+      Escaped += C;
+  }
+  return Escaped;
+}
+
+bool isNumericHost(const std::string &Host) {
+  std::array<unsigned char, sizeof(in6_addr)> Buffer{};
+  return inet_pton(AF_INET, Host.c_str(), Buffer.data()) == 1 ||
+         inet_pton(AF_INET6, Host.c_str(), Buffer.data()) == 1;
+}
+
+bool isPort(const std::string &Text) {
+  constexpr unsigned MaxPort = 65535;
+  unsigned Port = 0;
+  const char *End = Text.data() + Text.size();
+  const auto Parsed = std::from_chars(Text.data(), End, Port);
+  return Parsed.ec == std::errc() && Parsed.ptr == End && Port > 0 &&
+         Port <= MaxPort;
+}
+
+} // namespace
+
+bool isNumericAddress(const std::string &Text) {
+  const auto Colon = Text.rfind(':');
+  if (Colon == std::string::npos)
+    return false;
+  std::string Host = Text.substr(0, Colon);
+  if (Host.size() > 2 && Host.front() == '[' && Host.back() == ']')
+    Host = Host.substr(1, Host.size() - 2);
+  return isNumericHost(Host) && isPort(Text.substr(Colon + 1));
+}
+
+HostPort splitAddress(const std::string &Text) {
+  const auto Colon = Text.rfind(':');
+  HostPort Parts;
+  if (Colon == std::string::npos)
+    return Parts;
+  Parts.Host = Text.substr(0, Colon);
+  if (Parts.Host.size() > 2 && Parts.Host.front() == '[')
+    Parts.Host = Parts.Host.substr(1, Parts.Host.size() - 2);
+  std::from_chars(Text.data() + Colon + 1, Text.data() + Text.size(),
+                  Parts.Port);
+  return Parts;
+}
+
+Result<nlohmann::json> parseJson(const std::string &Text) {
+  try {
+    return nlohmann::json::parse(Text);
+  } catch (const nlohmann::json::parse_error &Failure) {
+    return Error{ErrorId::InvalidJson,
+                 "malformed JSON at byte " + std::to_string(Failure.byte), ""};
+  }
+}
+
+JsonReader::JsonReader(const nlohmann::json &Value, std::string Path,
+                       std::optional<Error> &FirstError)
+    : Object(&Value), Path(std::move(Path)), FirstError(&FirstError) {
+  if (Value.is_object())
+    return;
+  Object = &emptyObject();
+  if (!FirstError)
+    FirstError = Error{ErrorId::WrongType, "an object is expected", this->Path};
+}
+
+std::string JsonReader::pathOf(const std::string &Key) const {
+  return Path + "/" + escapePointer(Key);
+}
+
+void JsonReader::fail(ErrorId Id, const std::string &Key,
+                      const std::string &Detail) {
+  if (!*FirstError)
+    *FirstError = Error{Id, Detail, pathOf(Key)};
+}
+
+bool JsonReader::has(const std::string &Key) const {
+  return Object->contains(Key);
+}
+
+const nlohmann::json *JsonReader::find(const std::string &Key, bool Required) {
+  Read.push_back(Key);
+  const auto Found = Object->find(Key);
+  if (Found != Object->end())
+    return &*Found;
+  if (Required)
+    fail(ErrorId::MissingKey, Key, "the key is required");
+  return nullptr;
+}
+
+std::string JsonReader::text(const std::string &Key) {
+  const nlohmann::json *Value = find(Key, true);
+  if (Value == nullptr)
+    return {};
+  if (Value->is_string())
+    return Value->get<std::string>();
+  fail(ErrorId::WrongType, Key, "a string is expected");
+  return {};
+}
+
+std::string JsonReader::text(const std::string &Key,
+                             const std::string &Default) {
+  return has(Key) ? text(Key) : (Read.push_back(Key), Default);
+}
+
+std::int64_t JsonReader::integer(const std::string &Key, std::int64_t Min,
+                                 std::int64_t Max) {
+  const nlohmann::json *Value = find(Key, true);
+  if (Value == nullptr)
+    return Min;
+  if (!Value->is_number_integer()) {
+    fail(ErrorId::WrongType, Key, "a whole number is expected");
+    return Min;
+  }
+  const auto Number = Value->get<std::int64_t>();
+  if (Number < Min || Number > Max)
+    fail(ErrorId::OutOfRange, Key,
+         "the value must be from " + std::to_string(Min) + " to " +
+             std::to_string(Max));
+  return Number;
+}
+
+std::int64_t JsonReader::integer(const std::string &Key, std::int64_t Min,
+                                 std::int64_t Max, std::int64_t Default) {
+  if (has(Key))
+    return integer(Key, Min, Max);
+  Read.push_back(Key);
+  return Default;
+}
+
+double JsonReader::number(const std::string &Key, double Min, double Max) {
+  const nlohmann::json *Value = find(Key, true);
+  if (Value == nullptr)
+    return Min;
+  if (!Value->is_number()) {
+    fail(ErrorId::WrongType, Key, "a number is expected");
+    return Min;
+  }
+  const auto Number = Value->get<double>();
+  if (!(Number >= Min && Number <= Max))
+    fail(ErrorId::OutOfRange, Key,
+         "the value must be from " + std::to_string(Min) + " to " +
+             std::to_string(Max));
+  return Number;
+}
+
+double JsonReader::number(const std::string &Key, double Min, double Max,
+                          double Default) {
+  if (has(Key))
+    return number(Key, Min, Max);
+  Read.push_back(Key);
+  return Default;
+}
+
+bool JsonReader::boolean(const std::string &Key, bool Default) {
+  const nlohmann::json *Value = find(Key, false);
+  if (Value == nullptr)
+    return Default;
+  if (Value->is_boolean())
+    return Value->get<bool>();
+  fail(ErrorId::WrongType, Key, "true or false is expected");
+  return Default;
+}
+
+std::vector<std::string> JsonReader::textList(const std::string &Key) {
+  const nlohmann::json *Value = find(Key, false);
+  std::vector<std::string> Items;
+  if (Value == nullptr)
+    return Items;
+  const bool AllText =
+      Value->is_array() &&
+      std::all_of(Value->begin(), Value->end(),
+                  [](const nlohmann::json &Item) { return Item.is_string(); });
+  if (!AllText) {
+    fail(ErrorId::WrongType, Key, "a list of strings is expected");
+    return Items;
+  }
+  for (const nlohmann::json &Item : *Value)
+    Items.push_back(Item.get<std::string>());
+  return Items;
+}
+
+std::string JsonReader::address(const std::string &Key) {
+  std::string Text = text(Key);
+  if (!isNumericAddress(Text))
+    fail(ErrorId::InvalidAddress, Key,
+         "a numeric address ip:port is expected, not a host name");
+  return Text;
+}
+
+std::vector<std::string> JsonReader::addressList(const std::string &Key) {
+  std::vector<std::string> Items = textList(Key);
+  for (const std::string &Item : Items)
+    if (!isNumericAddress(Item))
+      fail(ErrorId::InvalidAddress, Key,
+           "'" + Item + "' is not a numeric address ip:port");
+  return Items;
+}
+
+JsonReader JsonReader::object(const std::string &Key) {
+  const nlohmann::json *Value = find(Key, false);
+  return {Value == nullptr ? emptyObject() : *Value, pathOf(Key), *FirstError};
+}
+
+std::vector<JsonReader> JsonReader::objectList(const std::string &Key) {
+  const nlohmann::json *Value = find(Key, false);
+  std::vector<JsonReader> Items;
+  if (Value == nullptr)
+    return Items;
+  if (!Value->is_array()) {
+    fail(ErrorId::WrongType, Key, "a list of objects is expected");
+    return Items;
+  }
+  std::size_t Index = 0;
+  for (const nlohmann::json &Item : *Value)
+    Items.emplace_back(Item, pathOf(Key) + "/" + std::to_string(Index++),
+                       *FirstError);
+  return Items;
+}
+
+std::vector<std::pair<std::string, JsonReader>>
+JsonReader::objectMap(const std::string &Key) {
+  const nlohmann::json *Value = find(Key, false);
+  std::vector<std::pair<std::string, JsonReader>> Items;
+  if (Value == nullptr)
+    return Items;
+  if (!Value->is_object()) {
+    fail(ErrorId::WrongType, Key, "an object is expected");
+    return Items;
+  }
+  for (const auto &[Name, Item] : Value->items())
+    Items.emplace_back(
+        Name,
+        JsonReader(Item, pathOf(Key) + "/" + escapePointer(Name), *FirstError));
+  return Items;
+}
+
+std::vector<std::pair<std::string, double>>
+JsonReader::numberMap(const std::string &Key, double Min, double Max) {
+  std::vector<std::pair<std::string, double>> Items;
+  JsonReader Map = object(Key);
+  for (const auto &[Name, Item] : Map.Object->items())
+    Items.emplace_back(Name, Map.number(Name, Min, Max));
+  return Items;
+}
+
+void JsonReader::finish() {
+  for (const auto &[Key, Value] : Object->items())
+    if (std::find(Read.begin(), Read.end(), Key) == Read.end())
+      fail(ErrorId::UnknownKey, Key, "the key is not known");
+}
+
+} // namespace mallowglade
