Claim idempotency keys through partition owners with compare-and-swap

Cause: the router refused every request with an Idempotency-Key, because no claim could be made.

Change: ClaimPartition decides for the owner of a partition (take-over with epoch + 1, load, group commit, recognition of own writes, loss, retention), ClaimRequester for the router that claims, and KeyedClaimService connects both to the key-value service and to the peers.

Conclusion: keyed requests run; repeats are still answered with claim.held.

--- /dev/null
+++ b/include/mallowglade/detail/outcomes/claim_messages.hpp
@@ -0,0 +1,68 @@
+#pragma once
+
+#include <mallowglade/detail/outcomes/claim_record.hpp>
+
+#include <optional>
+#include <string>
+#include <string_view>
+
+namespace mallowglade {
+
+/// @brief Asks the owner of a partition for a key.
+struct ClaimAsk {
+  ClaimKey Key;
+  ClaimHolder Asker;
+};
+
+/// @brief Kind of an owner's answer.
+enum class ClaimAnswerKind : std::uint8_t {
+  /// The asker holds the key and may run.
+  Granted = 0,
+  /// Another request holds the key.
+  HeldBy = 1,
+  /// No claim is possible now; final.
+  Refused = 2,
+  /// This router does not own the partition; ask the owner again.
+  NotOwner = 3,
+};
+
+/// @brief Answer of a partition's owner.
+struct ClaimAnswer {
+  ClaimToken Token;
+  ClaimAnswerKind Kind = ClaimAnswerKind::NotOwner;
+  /// The holder, if the kind is HeldBy.
+  ClaimHolder Holder;
+  /// True if the ownership was confirmed after the ask arrived. For HeldBy the
+  /// holder held the key at that moment; for Refused no request held it or had
+  /// run under it.
+  bool Confirmed = false;
+  Milliseconds RetryAfter{};
+};
+
+/// @brief Tells the owner how a claim ended.
+struct ClaimSettlement {
+  ClaimKey Key;
+  ClaimHolder Holder;
+  /// Done or Released.
+  ClaimState State = ClaimState::Done;
+};
+
+/// @brief Confirms a settlement; the sender may forget it.
+struct ClaimSettled {
+  ClaimToken Token;
+};
+
+/// @brief msgpack forms of the claim messages between routers; decoding gives
+///   nothing if the bytes are malformed.
+namespace claim_codec {
+std::string encode(const ClaimAsk &Message);
+std::string encode(const ClaimAnswer &Message);
+std::string encode(const ClaimSettlement &Message);
+std::string encode(const ClaimSettled &Message);
+std::optional<ClaimAsk> decodeAsk(std::string_view Bytes);
+std::optional<ClaimAnswer> decodeAnswer(std::string_view Bytes);
+std::optional<ClaimSettlement> decodeSettlement(std::string_view Bytes);
+std::optional<ClaimSettled> decodeSettled(std::string_view Bytes);
+} // namespace claim_codec
+
+} // namespace mallowglade
--- a/include/mallowglade/detail/router/claim_service.hpp
+++ b/include/mallowglade/detail/router/claim_service.hpp
@@ -2,6 +2,7 @@
 
 #include <mallowglade/core.hpp>
 #include <mallowglade/detail/router/dispatcher.hpp>
+#include <mallowglade/outcomes.hpp>
 
 #include <functional>
 #include <string>
@@ -16,18 +17,23 @@
 };
 
 /// @brief The request may run; nobody else may.
-struct ClaimGranted {};
+struct ClaimGranted {
+  /// Identifies the claim; marks the request's answer.
+  ClaimToken Token;
+};
 
 /// @brief Another request holds the key; its answer is the answer.
 struct ClaimHeldBy {
-  RouterId Router;
-  RequestId Request;
+  ClaimHolder Holder;
+  /// True if the holder still held the key after this claim was requested;
+  /// only then does its verdict `not_run` hold for all requests with the key.
+  bool Confirmed = false;
 };
 
 /// @brief No claim was made.
 struct ClaimRefused {
   Refusal Reason;
-  /// True if the key is known never to have been claimed.
+  /// True if it is proven that no request under the key has run.
   bool NeverClaimed = false;
 };
 
--- a/include/mallowglade/detail/router/static_services.hpp
+++ b/include/mallowglade/detail/router/static_services.hpp
@@ -1,6 +1,5 @@
 #pragma once
 
-#include <mallowglade/detail/router/claim_service.hpp>
 #include <mallowglade/detail/router/member_service.hpp>
 #include <mallowglade/detail/router/settings_service.hpp>
 
@@ -35,13 +34,4 @@
   Member Self;
 };
 
-/// @brief Refuses every claim: keyed requests are not served.
-class NoClaims final : public ClaimService {
-public:
-  void claim(const IdempotencyKey &Key, const RequestId &Request,
-             Reply Done) override;
-  void settle(const IdempotencyKey &Key, const RequestId &Request,
-              ClaimEnd End) override;
-};
-
 } // namespace mallowglade
--- a/src/router/app.cpp
+++ b/src/router/app.cpp
@@ -2,6 +2,7 @@
 
 #include <mallowglade/detail/router/answer.hpp>
 #include <mallowglade/detail/router/front_end.hpp>
+#include <mallowglade/detail/router/keyed_claim_service.hpp>
 #include <mallowglade/detail/router/local_dispatcher.hpp>
 #include <mallowglade/detail/router/request_runner.hpp>
 #include <mallowglade/detail/router/static_services.hpp>
@@ -81,6 +82,8 @@
 RouterApp::~RouterApp() {
   Impl->Front->stop();
   Impl->Control.stop();
+  for (const auto &Part : Impl->Parts)
+    Part->stop();
   Impl->Blocking.stop();
   Impl->Attempts.stop();
 }
@@ -96,8 +99,9 @@
   Self.CallerAddress = Settings.Advertise;
   Services.add<MemberService>(service_name::Members,
                               std::make_shared<SingleMember>(Self));
-  Services.add<ClaimService>(service_name::Claims,
-                             std::make_shared<NoClaims>());
+  auto Claims = std::make_shared<KeyedClaimService>(Context);
+  Services.add<ClaimService>(service_name::Claims, Claims);
+  Parts.push_back(Claims);
   auto Upstreams = std::make_shared<UpstreamService>(Context);
   Services.add<UpstreamDirectory>(service_name::Upstreams, Upstreams);
   Parts.push_back(Upstreams);
--- a/src/router/request_runner.cpp
+++ b/src/router/request_runner.cpp
@@ -167,8 +167,9 @@
 void RequestRunner::attachTo(const RunPointer &Current,
                              const ClaimHeldBy &Holder) {
   const Error Reason{ErrorId::ClaimHeld,
-                     "the key is held by request '" + Holder.Request.Value +
-                         "' on router " + Holder.Router.Value,
+                     "the key is held by request '" +
+                         Holder.Holder.Request.Value + "' on router " +
+                         Holder.Holder.Router.Value,
                      ""};
   finish(Current, Problem{Reason, Verdict::Unknown, Current->Request.Id,
                           DefaultRetryAfter});
--- a/src/router/static_services.cpp
+++ b/src/router/static_services.cpp
@@ -27,14 +27,4 @@
 
 void SingleMember::onChange(std::function<void()>) {}
 
-void NoClaims::claim(const IdempotencyKey &, const RequestId &, Reply Done) {
-  ClaimRefused Refused;
-  Refused.Reason.Reason = {ErrorId::ClaimUnavailable,
-                           "claims are not available", ""};
-  Refused.NeverClaimed = true;
-  Done(Refused);
-}
-
-void NoClaims::settle(const IdempotencyKey &, const RequestId &, ClaimEnd) {}
-
 } // namespace mallowglade
