--- a/include/mallowglade/detail/outcomes/claim_partition.hpp
+++ b/include/mallowglade/detail/outcomes/claim_partition.hpp
@@ -61,7 +61,7 @@
   /// @param Number number of the partition
   /// @param Self this router
   /// @param Start start time of this router
-  ClaimPartition(std::uint32_t Number, RouterId Self, Incarnation Start);
+  ClaimPartition(std::uint32_t Number, const RouterId &Self, Incarnation Start);
 
   /// @brief Takes the members' opinion on who owns the partition.
   /// @param Wanted true if it is this router
--- a/include/mallowglade/detail/outcomes/claim_requester.hpp
+++ b/include/mallowglade/detail/outcomes/claim_requester.hpp
@@ -44,6 +44,9 @@
                                TimePoint Now);
   /// @brief Handles an owner's confirmation of a settlement.
   void settled(ClaimToken Token, TimePoint Now);
+  /// @brief Another router still sees this claim as the key's holder; a claim
+  ///   that was released is released again.
+  ClaimRequesterActions recheck(ClaimToken Token, TimePoint Now);
   /// @brief Repeats and gives up what is due.
   ClaimRequesterActions tick(TimePoint Now);
   /// @return number of claims that are not forgotten yet
--- a/src/outcomes/claim_partition.cpp
+++ b/src/outcomes/claim_partition.cpp
@@ -19,7 +19,7 @@
 
 } // namespace
 
-ClaimPartition::ClaimPartition(std::uint32_t Number, RouterId Self,
+ClaimPartition::ClaimPartition(std::uint32_t Number, const RouterId &Self,
                                Incarnation Start)
     : Self(Self), Start(Start), Log(Number, Self, Start) {}
 
@@ -127,10 +127,14 @@
     const auto InBatch = Records.find(Item.Key);
     const ClaimRecord *Known =
         InBatch == Records.end() ? Log.find(Item.Key) : &InBatch->second;
-    if (Known == nullptr || Known->State == ClaimState::Released)
+    // A late copy of an ask must not claim the key for a request that ended.
+    const bool Ended =
+        Known != nullptr && Known->Holder.Token == Item.Asker.Token;
+    if (Known == nullptr || (Known->State == ClaimState::Released && !Ended))
       Records[Item.Key] = {Item.Key, Item.Asker, ClaimState::Claimed, 0};
   }
   std::vector<ClaimRecord> List;
+  List.reserve(Records.size());
   for (auto &[Key, Record] : Records)
     List.push_back(std::move(Record));
   return List;
@@ -372,8 +376,10 @@
   for (const ClaimAsk &Item : InFlight) {
     const ClaimRecord *Record = Log.find(Item.Key);
     // The record expired with this batch: the next ask finds the key free.
-    if (Record == nullptr || Record->State == ClaimState::Released)
+    if (Record == nullptr)
       answer(Item, ClaimAnswer{});
+    else if (Record->State == ClaimState::Released)
+      refuse(Item, true);
     else
       answerHeld(Item, *Record, true);
   }
--- a/src/outcomes/claim_requester.cpp
+++ b/src/outcomes/claim_requester.cpp
@@ -11,7 +11,7 @@
 constexpr Milliseconds AskPause{200};
 constexpr Milliseconds NotOwnerPause{50};
 constexpr Milliseconds SettlePause{1'000};
-constexpr Milliseconds MaxSettlePause{30'000};
+constexpr Milliseconds MaxSettlePause{5'000};
 /// After the retention time of claims a settlement has no effect.
 constexpr std::chrono::hours SettleLimit{1};
 /// A message that is delayed longer than this is not expected.
@@ -100,6 +100,14 @@
   forget(Found->second, Now);
 }
 
+ClaimRequesterActions ClaimRequester::recheck(ClaimToken Token, TimePoint Now) {
+  const auto Found = Entries.find(Token);
+  if (Found != Entries.end() && Found->second.Now == Stage::Forgotten &&
+      Found->second.End == ClaimState::Released)
+    beginSettling(Found->second, ClaimState::Released, Now);
+  return takeActions();
+}
+
 void ClaimRequester::forget(Entry &Which, TimePoint Now) {
   Which.Now = Stage::Forgotten;
   Which.Deadline = Now + ForgetAfter;
