Grant slots by fair shares through cells in the router

Cause: each router placed requests by itself, so that shares held per router only and an unevenly loaded fleet left slots idle.

Change: a cell (decision code in scheduling) takes the routers' demand, grants free slots to the workspace with the smallest virtual time, charges estimates at the grant and corrects them while the answer streams and at its end. A demand book per router queues requests, keeps report sessions and checks grants. CellDispatcher connects both to the router under policy `cell`; own messages take a direct path through the codec. GET /admin/cells shows the state, gauges show gap, bound, slots and control bytes.

Loss, partitions and change of owner are coded but not yet tested.

--- /dev/null
+++ b/include/mallowglade/detail/scheduling/replica_table.hpp
@@ -0,0 +1,110 @@
+#pragma once
+
+#include <mallowglade/detail/scheduling/adaptive_limit.hpp>
+#include <mallowglade/detail/scheduling/messages.hpp>
+#include <mallowglade/detail/scheduling/placement_guard.hpp>
+
+#include <map>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+namespace mallowglade {
+
+/// @brief A replica as the cell's owner sees it.
+struct ReplicaInfo {
+  UpstreamId Id;
+  std::string Address;
+  ZoneId Zone;
+  /// Most requests it accepts at once; 0 if not stated.
+  std::uint32_t MaxInFlight = 0;
+  /// Requests it reported as running; lags.
+  std::optional<std::uint32_t> Reported;
+};
+
+/// @brief Part of the fleet that a cell hears: k of n routers.
+struct FleetPart {
+  std::size_t Heard = 1;
+  std::size_t Registered = 1;
+
+  /// @brief Applies the partition rule to a limit.
+  /// @return k/n of the limit; rounded up with a majority, else down
+  std::uint32_t of(std::uint32_t Limit) const;
+};
+
+/// @brief A replica and the slots of it that are in use.
+struct Replica {
+  explicit Replica(const LimitSettings &Settings) : Limit(Settings) {}
+
+  ReplicaInfo Info;
+  AdaptiveLimit Limit;
+  /// Slots granted by this cell and not yet free.
+  std::uint32_t Own = 0;
+  /// Largest `Own` in this and in the previous adjustment period; a lagging
+  /// report may still count those.
+  std::uint32_t RecentOwn = 0;
+  std::uint32_t PreviousOwn = 0;
+  bool Gone = false;
+  /// Time of the last placement of each prefix.
+  std::unordered_map<std::uint64_t, TimePoint> Prefixes;
+
+  /// @return requests of others, as far as the report shows them
+  std::uint32_t foreign() const;
+  /// @return most requests that this cell may have on the replica now
+  std::uint32_t usable(const FleetPart &Part) const;
+};
+
+/// @brief The replicas of a cell: limits, load and placement.
+class ReplicaTable {
+public:
+  /// @param Settings bounds and targets of the in-flight limits
+  explicit ReplicaTable(const LimitSettings &Settings);
+  /// @brief Takes new bounds and targets.
+  void configure(const LimitSettings &Updated);
+  /// @brief Takes the current list; a missing replica gets no new work.
+  void update(const std::vector<ReplicaInfo> &List);
+  /// @brief Sets the part of each limit that this cell may use.
+  void setPart(const FleetPart &Updated) { Part = Updated; }
+  /// @return part of each limit that this cell may use
+  const FleetPart &part() const { return Part; }
+  /// @brief Chooses a replica: prefix affinity, then load, then zone.
+  /// @param Item the request
+  /// @param Near zone of the router that has it
+  /// @param Guard may veto; may be null
+  /// @return a replica with a free slot, or null
+  Replica *choose(const QueuedItem &Item, const ZoneId &Near,
+                  const PlacementGuard *Guard);
+  /// @brief Takes a slot.
+  void acquire(Replica &Where, std::uint64_t PrefixHash, TimePoint Now);
+  /// @brief Takes a slot for a request that already runs.
+  void adopt(const UpstreamId &Where);
+  /// @brief Frees a slot.
+  void release(const UpstreamId &Where);
+  /// @brief Takes token times.
+  void sample(const UpstreamId &Where, std::optional<Milliseconds> FirstToken,
+              std::optional<Milliseconds> InterToken);
+  /// @brief Adjusts the limits; to be called often.
+  void adjust(TimePoint Now);
+  /// @brief Notes that work waits: full replicas count as saturated.
+  void markSaturated();
+  /// @return slots this cell may use
+  std::uint32_t capacity() const;
+  /// @return slots of this cell in use
+  std::uint32_t inFlight() const;
+  /// @return true if a replica has a free slot
+  bool anyFree() const;
+  /// @return all replicas by id
+  const std::map<UpstreamId, Replica> &all() const { return Replicas; }
+
+private:
+  bool better(const Replica &Left, const Replica &Right, const QueuedItem &Item,
+              const ZoneId &Near) const;
+  LimitSettings limitsOf(const ReplicaInfo &Info) const;
+
+  LimitSettings Settings;
+  FleetPart Part;
+  std::map<UpstreamId, Replica> Replicas;
+  std::optional<TimePoint> LastWindow;
+};
+
+} // namespace mallowglade
--- a/src/router/app.cpp
+++ b/src/router/app.cpp
@@ -1,6 +1,7 @@
 #include <mallowglade/router.hpp>
 
 #include <mallowglade/detail/router/answer.hpp>
+#include <mallowglade/detail/router/cell_dispatcher.hpp>
 #include <mallowglade/detail/router/front_end.hpp>
 #include <mallowglade/detail/router/local_dispatcher.hpp>
 #include <mallowglade/detail/router/request_runner.hpp>
@@ -48,6 +49,7 @@
                 Blocking, Store, Instances, Services, startTime(Time)} {}
 
   void buildServices();
+  std::shared_ptr<CellDispatcher> buildDispatcher();
   void housekeeping();
   void finishDrain();
   void endNow();
@@ -101,13 +103,26 @@
   auto Upstreams = std::make_shared<UpstreamService>(Context);
   Services.add<UpstreamDirectory>(service_name::Upstreams, Upstreams);
   Parts.push_back(Upstreams);
+  const std::shared_ptr<CellDispatcher> Cells = buildDispatcher();
+  Runner = std::make_shared<RequestRunner>(Context, Answers, Attempts);
+  Front = std::make_shared<FrontEnd>(Context, Answers, Runner);
+  Services.add<AdminRoutes>(service_name::Admin, Front);
+  if (Cells != nullptr)
+    Cells->addRoutes(*Front);
+}
+
+std::shared_ptr<CellDispatcher> RouterApp::State::buildDispatcher() {
+  if (Settings.Policy == "cell") {
+    auto Cells = std::make_shared<CellDispatcher>(Context);
+    Services.add<Dispatcher>(service_name::Dispatcher, Cells);
+    Parts.push_back(Cells);
+    return Cells;
+  }
   Local = std::make_shared<LocalDispatcher>(Context, Settings.Policy == "random"
                                                          ? LocalPolicy::Random
                                                          : LocalPolicy::Split);
   Services.add<Dispatcher>(service_name::Dispatcher, Local);
-  Runner = std::make_shared<RequestRunner>(Context, Answers, Attempts);
-  Front = std::make_shared<FrontEnd>(Context, Answers, Runner);
-  Services.add<AdminRoutes>(service_name::Admin, Front);
+  return nullptr;
 }
 
 Result<Success> RouterApp::start() {
@@ -128,7 +143,8 @@
 }
 
 void RouterApp::State::housekeeping() {
-  Local->tick();
+  if (Local != nullptr)
+    Local->tick();
   Answers.expire(Time.now());
   std::vector<std::string> Addresses;
   const auto Members =
