Connect routers over HTTP/2

Cause: the services had no PeerNetwork; no router could reach another.

Conclusion: other parts can send and receive through service_name::Peers. Mutual TLS is not built; the instance settings name no certificates yet.

--- a/src/router/app.cpp
+++ b/src/router/app.cpp
@@ -3,6 +3,7 @@
 #include <mallowglade/detail/router/answer.hpp>
 #include <mallowglade/detail/router/front_end.hpp>
 #include <mallowglade/detail/router/local_dispatcher.hpp>
+#include <mallowglade/detail/router/peer_part.hpp>
 #include <mallowglade/detail/router/request_runner.hpp>
 #include <mallowglade/detail/router/static_services.hpp>
 #include <mallowglade/detail/router/upstream_service.hpp>
@@ -65,6 +66,7 @@
   AnswerStore Answers;
   RouterContext Context;
   std::vector<std::shared_ptr<RouterPart>> Parts;
+  std::shared_ptr<PeerPart> Peers;
   std::shared_ptr<LocalDispatcher> Local;
   std::shared_ptr<RequestRunner> Runner;
   std::shared_ptr<FrontEnd> Front;
@@ -86,6 +88,9 @@
 }
 
 void RouterApp::State::buildServices() {
+  Peers = std::make_shared<PeerPart>(Context);
+  Services.add<PeerNetwork>(service_name::Peers, Peers->network());
+  Parts.push_back(Peers);
   Services.add<SettingsService>(
       service_name::Settings,
       std::make_shared<StaticSettings>(Settings.SeedTree));
@@ -112,6 +117,9 @@
 
 Result<Success> RouterApp::start() {
   Impl->buildServices();
+  const Result<Success> Listening = Impl->Peers->listen();
+  if (!isOk(Listening))
+    return Listening;
   Impl->Control.start();
   Impl->Control.post([this] {
     for (const auto &Part : Impl->Parts)
