--- a/src/router/app.cpp
+++ b/src/router/app.cpp
@@ -1,9 +1,11 @@
 #include <mallowglade/router.hpp>
 
 #include <mallowglade/detail/router/answer.hpp>
+#include <mallowglade/detail/router/cell_dispatcher.hpp>
 #include <mallowglade/detail/router/front_end.hpp>
 #include <mallowglade/detail/router/keyed_claim_service.hpp>
 #include <mallowglade/detail/router/local_dispatcher.hpp>
+#include <mallowglade/detail/router/peer_part.hpp>
 #include <mallowglade/detail/router/request_runner.hpp>
 #include <mallowglade/detail/router/static_services.hpp>
 #include <mallowglade/detail/router/upstream_service.hpp>
@@ -49,6 +51,7 @@
                 Blocking, Store, Instances, Services, startTime(Time)} {}
 
   void buildServices();
+  std::shared_ptr<CellDispatcher> buildDispatcher();
   void housekeeping();
   void finishDrain();
   void endNow();
@@ -66,6 +69,7 @@
   AnswerStore Answers;
   RouterContext Context;
   std::vector<std::shared_ptr<RouterPart>> Parts;
+  std::shared_ptr<PeerPart> Peers;
   std::shared_ptr<LocalDispatcher> Local;
   std::shared_ptr<RequestRunner> Runner;
   std::shared_ptr<FrontEnd> Front;
@@ -89,6 +93,9 @@
 }
 
 void RouterApp::State::buildServices() {
+  Peers = std::make_shared<PeerPart>(Context);
+  Services.add<PeerNetwork>(service_name::Peers, Peers->network());
+  Parts.push_back(Peers);
   Services.add<SettingsService>(
       service_name::Settings,
       std::make_shared<StaticSettings>(Settings.SeedTree));
@@ -105,17 +112,33 @@
   auto Upstreams = std::make_shared<UpstreamService>(Context);
   Services.add<UpstreamDirectory>(service_name::Upstreams, Upstreams);
   Parts.push_back(Upstreams);
+  const std::shared_ptr<CellDispatcher> Cells = buildDispatcher();
+  Runner = std::make_shared<RequestRunner>(Context, Answers, Attempts);
+  Front = std::make_shared<FrontEnd>(Context, Answers, Runner);
+  Services.add<AdminRoutes>(service_name::Admin, Front);
+  if (Cells != nullptr)
+    Cells->addRoutes(*Front);
+}
+
+std::shared_ptr<CellDispatcher> RouterApp::State::buildDispatcher() {
+  if (Settings.Policy == "cell") {
+    auto Cells = std::make_shared<CellDispatcher>(Context);
+    Services.add<Dispatcher>(service_name::Dispatcher, Cells);
+    Parts.push_back(Cells);
+    return Cells;
+  }
   Local = std::make_shared<LocalDispatcher>(Context, Settings.Policy == "random"
                                                          ? LocalPolicy::Random
                                                          : LocalPolicy::Split);
   Services.add<Dispatcher>(service_name::Dispatcher, Local);
-  Runner = std::make_shared<RequestRunner>(Context, Answers, Attempts);
-  Front = std::make_shared<FrontEnd>(Context, Answers, Runner);
-  Services.add<AdminRoutes>(service_name::Admin, Front);
+  return nullptr;
 }
 
 Result<Success> RouterApp::start() {
   Impl->buildServices();
+  const Result<Success> Listening = Impl->Peers->listen();
+  if (!isOk(Listening))
+    return Listening;
   Impl->Control.start();
   Impl->Control.post([this] {
     for (const auto &Part : Impl->Parts)
@@ -132,7 +155,8 @@
 }
 
 void RouterApp::State::housekeeping() {
-  Local->tick();
+  if (Local != nullptr)
+    Local->tick();
   Answers.expire(Time.now());
   std::vector<std::string> Addresses;
   const auto Members =
