Attach repeats to the running request and end a planned stop with verdicts

Cause: a repeat of a held key got claim.held, a second stop signal cut the connections of running requests, and a refusal before the claim called keyed requests not run although an earlier one may have run.

Change: a repeat copies the holder's answer, on the same router directly and from another router through GET /v1/requests/<id>/answer with the claim's token. A planned stop waits until replies are written and claims are settled; a second signal or the drain limit ends requests with problem documents. Silent connections are followed by a probe on a new connection. Upstreams that answer 503 with Retry-After are paused; one that left and came back gets work again. Refusals of keyed requests before the claim have the outcome unknown.

--- a/include/mallowglade/detail/outcomes/claim_requester.hpp
+++ b/include/mallowglade/detail/outcomes/claim_requester.hpp
@@ -49,8 +49,8 @@
   ClaimRequesterActions recheck(ClaimToken Token, TimePoint Now);
   /// @brief Repeats and gives up what is due.
   ClaimRequesterActions tick(TimePoint Now);
-  /// @return number of claims that are not forgotten yet
-  std::size_t size() const { return Entries.size(); }
+  /// @return settlements that no owner has confirmed
+  std::size_t unsettled() const;
 
 private:
   enum class Stage { Asking, Running, Settling, Forgotten };
--- a/include/mallowglade/detail/router/answer.hpp
+++ b/include/mallowglade/detail/router/answer.hpp
@@ -31,7 +31,14 @@
   /// @brief Marks the answer as complete.
   void complete();
   /// @brief Ends the answer with a failure.
+  ///
+  /// Nothing is added to an answer that has ended: a late result of an
+  /// abandoned attempt reaches no caller.
   void fail(Problem Failure);
+  /// @brief Marks the answer with the claim of its request.
+  void setClaim(ClaimToken Token);
+  /// @return the claim; 0 if the request has no idempotency key
+  ClaimToken claim() const;
 
   /// @brief Waits until the answer has begun or failed.
   /// @return the head, or nothing if it failed before it began
@@ -57,6 +64,7 @@
   std::string Body;
   bool Completed = false;
   std::optional<Problem> Failure;
+  ClaimToken Claim;
 };
 
 /// @brief Keeps answers for callers that ask again; thread-safe.
--- a/include/mallowglade/detail/router/claim_service.hpp
+++ b/include/mallowglade/detail/router/claim_service.hpp
@@ -17,10 +17,7 @@
 };
 
 /// @brief The request may run; nobody else may.
-struct ClaimGranted {
-  /// Identifies the claim; marks the request's answer.
-  ClaimToken Token;
-};
+struct ClaimGranted {};
 
 /// @brief Another request holds the key; its answer is the answer.
 struct ClaimHeldBy {
@@ -56,11 +53,16 @@
 
   virtual ~ClaimService() = default;
   /// @brief Claims a key for a request.
-  virtual void claim(const IdempotencyKey &Key, const RequestId &Request,
-                     Reply Done) = 0;
+  /// @return identifies the claim, whether it will be granted or not
+  virtual ClaimToken claim(const IdempotencyKey &Key, const RequestId &Request,
+                           Reply Done) = 0;
   /// @brief Reports the end of a claimed request.
   virtual void settle(const IdempotencyKey &Key, const RequestId &Request,
                       ClaimEnd End) = 0;
+  /// @brief Another request still sees this router's claim as the holder.
+  virtual void recheck(ClaimToken Token) = 0;
+  /// @return ended claims whose end the partition's owner has not confirmed
+  virtual std::size_t unsettled() const = 0;
 };
 
 } // namespace mallowglade
--- a/include/mallowglade/detail/router/front_end.hpp
+++ b/include/mallowglade/detail/router/front_end.hpp
@@ -29,6 +29,8 @@
   Result<Success> start();
   /// @brief New requests get a redirect to other routers from now on.
   void redirectNewRequests();
+  /// @return requests whose reply is not completely written
+  std::size_t serving() const;
   /// @brief Updates the address answer; called on the control thread.
   void publishAddresses(std::vector<std::string> Addresses);
   /// @brief Closes all connections and waits for their threads.
--- a/include/mallowglade/detail/router/http_server.hpp
+++ b/include/mallowglade/detail/router/http_server.hpp
@@ -25,6 +25,8 @@
   explicit HttpServer(HttpServerLimits Limits);
   /// @brief Ends idle connections soon; requests in progress go on.
   void closeIdleConnections();
+  /// @return requests whose reply is not completely written
+  std::size_t serving() const { return Serving; }
 
 private:
   bool process_and_close_socket(socket_t Socket) override;
@@ -32,6 +34,7 @@
 
   HttpServerLimits Limits;
   std::atomic<std::size_t> Connections{0};
+  std::atomic<std::size_t> Serving{0};
   std::atomic<bool> Closing{false};
 };
 
--- a/include/mallowglade/detail/router/keyed_claim_service.hpp
+++ b/include/mallowglade/detail/router/keyed_claim_service.hpp
@@ -19,10 +19,12 @@
   /// @param Context what the router's services share
   explicit KeyedClaimService(RouterContext Context);
 
-  void claim(const IdempotencyKey &Key, const RequestId &Request,
-             Reply Done) override;
+  ClaimToken claim(const IdempotencyKey &Key, const RequestId &Request,
+                   Reply Done) override;
   void settle(const IdempotencyKey &Key, const RequestId &Request,
               ClaimEnd End) override;
+  void recheck(ClaimToken Token) override;
+  std::size_t unsettled() const override { return Requester.unsettled(); }
   void start() override;
   void stop() override;
 
--- a/include/mallowglade/detail/router/problem.hpp
+++ b/include/mallowglade/detail/router/problem.hpp
@@ -3,6 +3,7 @@
 #include <mallowglade/core.hpp>
 #include <mallowglade/outcomes.hpp>
 
+#include <optional>
 #include <string>
 
 namespace mallowglade {
@@ -24,6 +25,10 @@
 /// @return JSON text of type `application/problem+json`
 std::string toJson(const Problem &Failure);
 
+/// @brief Reads a problem document of another router.
+/// @return the problem, or nothing if the text is not one
+std::optional<Problem> parseProblem(const std::string &Json);
+
 /// @brief Rounds a delay up for the `Retry-After` header.
 /// @return whole seconds, at least 1
 std::int64_t retryAfterSeconds(Milliseconds Delay);
--- a/include/mallowglade/detail/router/request_runner.hpp
+++ b/include/mallowglade/detail/router/request_runner.hpp
@@ -4,10 +4,12 @@
 #include <mallowglade/detail/router/claim_service.hpp>
 #include <mallowglade/detail/router/context.hpp>
 #include <mallowglade/detail/router/upstream_call.hpp>
+#include <mallowglade/scheduling.hpp>
 
 #include <atomic>
 #include <memory>
 #include <optional>
+#include <set>
 
 namespace mallowglade {
 
@@ -21,6 +23,8 @@
   /// Set if the caller named the request for repeats.
   std::optional<IdempotencyKey> Key;
   UpstreamRequest Payload;
+  /// Bearer key of the caller, to fetch an answer from another router.
+  std::string BearerKey;
 };
 
 /// @brief Runs accepted requests to their end, whoever still listens.
@@ -35,6 +39,9 @@
   /// @param Request the request
   /// @param Target its answer
   void start(RouterRequest Request, std::shared_ptr<Answer> Target);
+  /// @brief Ends all requests with a problem document at once; new ones are
+  ///   refused. Safe to call from any thread.
+  void abortAll();
   /// @return requests that have not ended
   std::size_t active() const { return Active; }
 
@@ -43,25 +50,33 @@
   using RunPointer = std::shared_ptr<Run>;
 
   void claim(const RunPointer &Current);
-  void attachTo(const RunPointer &Current, const ClaimHeldBy &Holder);
+  void refuseClaim(const RunPointer &Current, const ClaimRefused &Refused);
+  void attachTo(const RunPointer &Current, const ClaimHeldBy &Held);
+  void attachHere(const RunPointer &Current, const ClaimHeldBy &Held);
+  void attachElsewhere(const RunPointer &Current, const ClaimHeldBy &Held);
+  void fetch(const RunPointer &Current, const ClaimHeldBy &Held,
+             const std::string &Address);
+  void attachedEnded(const RunPointer &Current, const ClaimHeldBy &Held,
+                     std::optional<Problem> Failure);
+  void holderGone(const RunPointer &Current);
   void enqueue(const RunPointer &Current);
   void dispatch(const RunPointer &Current, const Assignment &Where);
   void runAttempt(const RunPointer &Current, const Assignment &Where);
   void attemptEnded(const RunPointer &Current, const Assignment &Where,
-                    AttemptEnd End, const AttemptProgress &Progress);
-  void failAttempt(const RunPointer &Current, AttemptEnd End);
+                    AttemptEnd End, const AttemptProgress &Progress, bool Free);
+  void failAttempt(const RunPointer &Current, AttemptEnd End, bool Free);
+  void settle(const RunPointer &Current, Verdict Outcome);
+  void abort(const RunPointer &Current);
   void finish(const RunPointer &Current, std::optional<Problem> Failure);
 
   RouterContext Context;
   AnswerStore &Answers;
   BlockingPool &Attempts;
   std::atomic<std::size_t> Active{0};
+  /// Requests that have not ended; control thread only.
+  std::set<RunPointer> Runs;
+  RetryBudget Budget;
+  bool Aborted = false;
 };
 
-/// @brief Estimates the cost of a request before it runs.
-/// @param Pool pool with the weights
-/// @param Body request body
-/// @return estimate in service units
-ServiceUnits estimateCost(const PoolSettings &Pool, const std::string &Body);
-
 } // namespace mallowglade
--- a/include/mallowglade/detail/router/upstream_call.hpp
+++ b/include/mallowglade/detail/router/upstream_call.hpp
@@ -5,6 +5,7 @@
 
 #include <functional>
 #include <map>
+#include <mutex>
 #include <string>
 
 namespace mallowglade {
@@ -40,15 +41,33 @@
   Milliseconds GapLimit{};
 };
 
+/// @brief Ends a running call from another thread; thread-safe.
+class CallCancellation {
+public:
+  /// @brief Ends the running call and all later ones.
+  void cancel();
+  /// @return true once cancelled
+  bool cancelled() const;
+  /// @brief Names the action that ends the running call; null for none.
+  void setAction(std::function<void()> End);
+
+private:
+  mutable std::mutex Mutex;
+  std::function<void()> Action;
+  bool Cancelled = false;
+};
+
 /// @brief Runs one attempt on a new connection and waits for its end.
 ///
 /// Each attempt has a connection of its own: a connection that went silent
 /// is never reused, and a request is never handed to one that was already
 /// closed by its other end.
+/// @param Cancellation ends the call early; may be null
 /// @return how the attempt ended
 AttemptEnd callUpstream(const std::string &Address,
                         const UpstreamRequest &Request,
                         const UpstreamLimits &Limits,
-                        const UpstreamReceiver &Receiver);
+                        const UpstreamReceiver &Receiver,
+                        CallCancellation *Cancellation = nullptr);
 
 } // namespace mallowglade
--- a/include/mallowglade/detail/router/upstream_directory.hpp
+++ b/include/mallowglade/detail/router/upstream_directory.hpp
@@ -33,6 +33,9 @@
   virtual void markLeaving(const UpstreamId &Id) = 0;
   /// @brief Stops new work to an upstream until a probe succeeds.
   virtual void markDown(const UpstreamId &Id) = 0;
+  /// @brief Stops new work to an upstream for a while, as it asked.
+  /// @param Span time, limited to one minute
+  virtual void pause(const UpstreamId &Id, Milliseconds Span) = 0;
   /// @brief Registers a callback for changes, called on the control thread.
   virtual void onChange(std::function<void()> Changed) = 0;
 };
--- a/include/mallowglade/detail/router/upstream_service.hpp
+++ b/include/mallowglade/detail/router/upstream_service.hpp
@@ -20,6 +20,7 @@
   std::vector<Upstream> available(const PoolId &Pool) const override;
   void markLeaving(const UpstreamId &Id) override;
   void markDown(const UpstreamId &Id) override;
+  void pause(const UpstreamId &Id, Milliseconds Span) override;
   void onChange(std::function<void()> Changed) override;
   void start() override;
 
@@ -28,6 +29,7 @@
     Upstream Info;
     bool Leaving = false;
     bool Down = false;
+    TimePoint PausedUntil{};
   };
   void refresh();
   void apply(const std::vector<Instance> &Instances);
--- a/src/outcomes/claim_requester.cpp
+++ b/src/outcomes/claim_requester.cpp
@@ -108,6 +108,12 @@
   return takeActions();
 }
 
+std::size_t ClaimRequester::unsettled() const {
+  return std::count_if(Entries.begin(), Entries.end(), [](const auto &Item) {
+    return Item.second.Now == Stage::Settling;
+  });
+}
+
 void ClaimRequester::forget(Entry &Which, TimePoint Now) {
   Which.Now = Stage::Forgotten;
   Which.Deadline = Now + ForgetAfter;
--- a/src/router/answer.cpp
+++ b/src/router/answer.cpp
@@ -4,29 +4,41 @@
 
 void Answer::begin(AnswerHead NewHead) {
   const std::lock_guard<std::mutex> Lock(Mutex);
-  if (!Head)
+  if (!Head && !Completed && !Failure)
     Head = std::move(NewHead);
   Changed.notify_all();
 }
 
 void Answer::append(std::string_view Bytes) {
   const std::lock_guard<std::mutex> Lock(Mutex);
-  Body.append(Bytes);
+  if (!Completed && !Failure)
+    Body.append(Bytes);
   Changed.notify_all();
 }
 
 void Answer::complete() {
   const std::lock_guard<std::mutex> Lock(Mutex);
-  Completed = true;
+  Completed = !Failure;
   Changed.notify_all();
 }
 
 void Answer::fail(Problem NewFailure) {
   const std::lock_guard<std::mutex> Lock(Mutex);
-  Failure = std::move(NewFailure);
+  if (!Completed && !Failure)
+    Failure = std::move(NewFailure);
   Changed.notify_all();
 }
 
+void Answer::setClaim(ClaimToken Token) {
+  const std::lock_guard<std::mutex> Lock(Mutex);
+  Claim = Token;
+}
+
+ClaimToken Answer::claim() const {
+  const std::lock_guard<std::mutex> Lock(Mutex);
+  return Claim;
+}
+
 std::optional<AnswerHead> Answer::waitForHead() const {
   std::unique_lock<std::mutex> Lock(Mutex);
   Changed.wait(Lock, [this] { return Head || Failure; });
--- /dev/null
+++ b/src/router/answer_fetch.cpp
@@ -0,0 +1,105 @@
+#include <mallowglade/detail/router/answer_fetch.hpp>
+
+#include <mallowglade/settings.hpp>
+
+#include <httplib.h>
+
+namespace mallowglade {
+
+namespace {
+
+constexpr Milliseconds ConnectTimeout{1'000};
+/// After this silence the caller checks whether the holder still lives.
+constexpr Milliseconds SilenceLimit{10'000};
+constexpr int Unauthorized = 401;
+constexpr int NotFound = 404;
+constexpr int AnswerGoneStatus = 410;
+
+/// Passes a stream on at once and other answers when they are complete.
+class FetchSink {
+public:
+  FetchSink(Answer &Target, std::size_t Skip) : Target(Target), Skip(Skip) {}
+
+  void onHead(const httplib::Response &Response) {
+    Head = {Response.status, Response.get_header_value("Content-Type")};
+    IsProblem = Head.ContentType.starts_with("application/problem+json");
+    Streaming = Head.ContentType.starts_with("text/event-stream");
+    if (Streaming)
+      Target.begin(Head);
+  }
+
+  void onBytes(std::string_view Bytes) {
+    if (!Streaming) {
+      Whole.append(Bytes);
+      return;
+    }
+    Seen += Bytes.size();
+    if (Seen <= Skip)
+      return;
+    Target.append(
+        Bytes.substr(Bytes.size() - std::min(Bytes.size(), Seen - Skip)));
+  }
+
+  FetchResult end(bool Complete) {
+    FetchResult Result;
+    Result.Relayed = std::max(Seen, Skip);
+    const bool Missing = Head.Status == Unauthorized ||
+                         Head.Status == NotFound ||
+                         Head.Status == AnswerGoneStatus;
+    if (!Complete)
+      return Result;
+    if (IsProblem)
+      Result.Failure = parseProblem(Whole);
+    const bool NoAnswer = Missing && IsProblem;
+    Result.End = NoAnswer ? FetchEnd::Gone : FetchEnd::Ended;
+    if (!IsProblem && !Streaming) {
+      Target.begin(Head);
+      Target.append(Whole);
+    }
+    return Result;
+  }
+
+private:
+  Answer &Target;
+  std::size_t Skip;
+  std::size_t Seen = 0;
+  AnswerHead Head;
+  bool IsProblem = false;
+  bool Streaming = false;
+  std::string Whole;
+};
+
+} // namespace
+
+FetchResult fetchAnswer(const AnswerFetch &Wanted, Answer &Target,
+                        CallCancellation &Cancellation) {
+  const HostPort Address = splitAddress(Wanted.Address);
+  httplib::Client Client(Address.Host, Address.Port);
+  Client.set_connection_timeout(ConnectTimeout);
+  Client.set_read_timeout(SilenceLimit);
+  Client.set_tcp_nodelay(true);
+  Client.set_decompress(false);
+  FetchSink Sink(Target, Wanted.Skip);
+  httplib::Request Message;
+  Message.method = "GET";
+  Message.path = "/v1/requests/" +
+                 httplib::detail::encode_query_param(Wanted.Request.Value) +
+                 "/answer";
+  Message.set_header("Authorization", "Bearer " + Wanted.BearerKey);
+  Message.set_header(ClaimHeader, toHex(Wanted.Claim.Value));
+  Message.response_handler = [&Sink](const httplib::Response &Response) {
+    Sink.onHead(Response);
+    return true;
+  };
+  Message.content_receiver = [&](const char *Data, std::size_t Size,
+                                 std::uint64_t, std::uint64_t) {
+    Sink.onBytes({Data, Size});
+    return !Cancellation.cancelled();
+  };
+  Cancellation.setAction([&Client] { Client.stop(); });
+  const httplib::Result Reply = Client.send(Message);
+  Cancellation.setAction(nullptr);
+  return Sink.end(static_cast<bool>(Reply));
+}
+
+} // namespace mallowglade
--- a/src/router/app.cpp
+++ b/src/router/app.cpp
@@ -19,6 +19,10 @@
 constexpr std::size_t PlatformThreads = 8;
 constexpr Milliseconds PlatformCallTimeout{2'000};
 constexpr Milliseconds HousekeepingPeriod{100};
+/// Time to write the last problem documents.
+constexpr Milliseconds AbortLimit{3'000};
+/// Time for the owners of claims to confirm the ends of the last requests.
+constexpr Milliseconds SettleLimit{3'000};
 
 LogLevel parseLevel(const std::string &Name) {
   if (Name == "debug")
@@ -54,6 +58,7 @@
   std::shared_ptr<CellDispatcher> buildDispatcher();
   void housekeeping();
   void finishDrain();
+  void abortRequests();
   void endNow();
 
   InstanceSettings Settings;
@@ -74,6 +79,8 @@
   std::shared_ptr<RequestRunner> Runner;
   std::shared_ptr<FrontEnd> Front;
   std::optional<TimePoint> DrainStarted;
+  std::optional<TimePoint> AbortedAt;
+  std::optional<TimePoint> IdleSince;
   std::atomic<int> StopRequests{0};
   std::mutex Mutex;
   std::condition_variable Changed;
@@ -173,11 +180,33 @@
   const auto Waited = Time.now() - *DrainStarted;
   if (Waited >= Settings.AddressTtl)
     Front->redirectNewRequests();
-  const bool Idle = Waited >= Settings.AddressTtl && Runner->active() == 0;
-  if (Idle || Waited >= Settings.DrainLimit)
+  if (Waited >= Settings.DrainLimit)
+    abortRequests();
+  const bool Idle = Runner->active() == 0 && Front->serving() == 0;
+  const bool MayEnd = AbortedAt || Waited >= Settings.AddressTtl;
+  if (!Idle || !MayEnd) {
+    IdleSince.reset();
+    if (AbortedAt && Time.now() - *AbortedAt >= AbortLimit)
+      endNow();
+    return;
+  }
+  if (!IdleSince)
+    IdleSince = Time.now();
+  const auto Claims = Services.find<ClaimService>(service_name::Claims);
+  if (Claims->unsettled() == 0 || Time.now() - *IdleSince >= SettleLimit)
     endNow();
 }
 
+/// Callers get a problem document with an accurate verdict instead of a reset.
+void RouterApp::State::abortRequests() {
+  if (AbortedAt)
+    return;
+  Log.warning("requests in progress are given up");
+  AbortedAt = Time.now();
+  Front->redirectNewRequests();
+  Runner->abortAll();
+}
+
 void RouterApp::State::endNow() {
   const std::lock_guard<std::mutex> Lock(Mutex);
   Stopped = true;
@@ -186,7 +215,7 @@
 
 void RouterApp::requestStop() {
   if (++Impl->StopRequests > 1) {
-    Impl->endNow();
+    Impl->Control.post([this] { Impl->abortRequests(); });
     return;
   }
   Impl->Control.post([this] {
--- /dev/null
+++ b/src/router/attempt_run.cpp
@@ -0,0 +1,121 @@
+#include <mallowglade/detail/router/request_run.hpp>
+
+#include <mallowglade/detail/platform/tcp_probe.hpp>
+#include <mallowglade/detail/router/attempt_meter.hpp>
+#include <mallowglade/detail/router/upstream_directory.hpp>
+
+#include <nlohmann/json.hpp>
+
+namespace mallowglade {
+
+namespace {
+
+constexpr Milliseconds ConnectTimeout{1'000};
+constexpr Milliseconds ProgressPeriod{250};
+constexpr Milliseconds ProbeTimeout{500};
+constexpr int ServerErrorStatus = 500;
+
+/// Passes the bytes of one attempt on to the answer.
+class AttemptSink {
+public:
+  AttemptSink(Answer &Target, EventStream &Events, AttemptMeter &Meter)
+      : Target(Target), Events(Events), Meter(Meter) {}
+
+  void onHead(const UpstreamHead &NewHead) {
+    Head = NewHead;
+    Streaming = Head.ContentType.starts_with("text/event-stream");
+    Events.reset();
+    if (Streaming && Head.Status < ServerErrorStatus)
+      Target.begin({Head.Status, Head.ContentType});
+  }
+
+  void onBytes(std::string_view Bytes) {
+    if (!Streaming) {
+      Whole.append(Bytes);
+      return;
+    }
+    Target.append(Events.feed(Bytes));
+    Meter.tokens(Events.eventCount());
+    if (!Events.usage().empty())
+      Meter.usage(Events.usage());
+  }
+
+  /// Completes the answer; an incomplete stream counts as a lost connection.
+  AttemptEnd end(AttemptEnd End) {
+    if (End != AttemptEnd::Answered)
+      return End;
+    if (Streaming && !Events.done())
+      return AttemptEnd::ConnectionLost;
+    if (!Streaming) {
+      const auto Document = nlohmann::json::parse(Whole, nullptr, false);
+      if (Document.is_object() && Document.contains("usage"))
+        Meter.usage(Document["usage"].dump());
+      Target.begin({Head.Status, Head.ContentType});
+      Target.append(Whole);
+    }
+    return End;
+  }
+
+  const UpstreamHead &head() const { return Head; }
+
+private:
+  Answer &Target;
+  EventStream &Events;
+  AttemptMeter &Meter;
+  UpstreamHead Head;
+  bool Streaming = false;
+  std::string Whole;
+};
+
+} // namespace
+
+void RequestRunner::runAttempt(const RunPointer &Current,
+                               const Assignment &Where) {
+  const RouterRequest &Request = Current->Request;
+  UpstreamRequest Payload = Request.Payload;
+  Payload.Headers["X-Request-Id"] = Request.Id.Value;
+  Payload.Headers["X-Attempt"] = std::to_string(Current->History.Attempts);
+  if (!Current->Events.lastEventId().empty())
+    Payload.Headers["Last-Event-ID"] = Current->Events.lastEventId();
+  AttemptMeter Meter(Request.Pool, Payload.Body.size(), Context.Time);
+  AttemptSink Sink(*Current->Target, Current->Events, Meter);
+  TimePoint LastReport = Context.Time.now();
+  UpstreamReceiver Receiver;
+  Receiver.OnHead = [&](const UpstreamHead &Head) { Sink.onHead(Head); };
+  Receiver.OnBytes = [&](std::string_view Bytes) {
+    Sink.onBytes(Bytes);
+    if (Context.Time.now() - LastReport < ProgressPeriod)
+      return;
+    LastReport = Context.Time.now();
+    Context.Control.post([Self = shared_from_this(), Id = Request.Id, Where,
+                          Progress = Meter.progress()] {
+      Self->Context.Services.find<Dispatcher>(service_name::Dispatcher)
+          ->progress(Id, Where, Progress);
+    });
+  };
+  const AttemptEnd Raw = callUpstream(Where.Address, Payload,
+                                      {ConnectTimeout, Request.Pool.GapLimit},
+                                      Receiver, &Current->Cancellation);
+  const AttemptEnd End = Sink.end(Raw);
+  // A new connection tells a silent connection from an upstream that is gone.
+  const bool Gone = End == AttemptEnd::Silent &&
+                    !detail::acceptsTcp(Where.Address, ProbeTimeout);
+  Context.Control.post([Self = shared_from_this(), Current, Where, End, Gone,
+                        Head = Sink.head(), Progress = Meter.progress()] {
+    const auto Upstreams =
+        Self->Context.Services.find<UpstreamDirectory>(service_name::Upstreams);
+    if (Head.Leaving)
+      Upstreams->markLeaving(Where.Upstream);
+    else if (End == AttemptEnd::ConnectFailed || Gone)
+      Upstreams->markDown(Where.Upstream);
+    else if (End == AttemptEnd::Refused && Head.RetryAfterSeconds > 0)
+      Upstreams->pause(Where.Upstream,
+                       std::chrono::seconds(Head.RetryAfterSeconds));
+    const bool Free = End == AttemptEnd::ConnectFailed ||
+                      (End == AttemptEnd::Refused &&
+                       (Head.Leaving || Head.RetryAfterSeconds > 0));
+    Self->attemptEnded(Current, Where, End, Progress, Free);
+  });
+}
+
+} // namespace mallowglade
--- a/src/router/front_end.cpp
+++ b/src/router/front_end.cpp
@@ -1,5 +1,7 @@
 #include <mallowglade/detail/router/front_end.hpp>
 
+#include <mallowglade/detail/router/answer_fetch.hpp>
+#include <mallowglade/detail/router/claim_service.hpp>
 #include <mallowglade/detail/router/http_server.hpp>
 #include <mallowglade/detail/router/settings_service.hpp>
 
@@ -18,6 +20,7 @@
     "te",         "proxy-connection",  "content-length",    "host",
     "trailer",    "proxy-authenticate"};
 constexpr int RedirectStatus = 307;
+constexpr const char *KeyHeader = "Idempotency-Key";
 
 std::string lowerCase(std::string Text) {
   for (char &C : Text)
@@ -47,6 +50,19 @@
   replyProblem(Response, Failure);
 }
 
+/// Refuses a request before it is claimed. With an idempotency key an earlier
+/// request may have run, so only the key's claim can prove that none did.
+void refuseRequest(const httplib::Request &Request, httplib::Response &Response,
+                   ErrorId Id, const std::string &Detail,
+                   Milliseconds RetryAfter = {}) {
+  Problem Failure;
+  Failure.Reason = {Id, Detail, ""};
+  Failure.RetryAfter = RetryAfter;
+  if (Request.has_header(KeyHeader))
+    Failure.Outcome = Verdict::Unknown;
+  replyProblem(Response, Failure);
+}
+
 UpstreamRequest makePayload(const httplib::Request &Request) {
   UpstreamRequest Payload;
   Payload.Method = Request.method;
@@ -124,6 +140,7 @@
                    httplib::Response &Response);
   void serveRequest(const httplib::Request &Request,
                     httplib::Response &Response);
+  bool claimMatches(const httplib::Request &Request, const Answer *Found);
   bool redirect(const httplib::Request &Request, httplib::Response &Response);
   RequestId newRequestId();
   std::shared_ptr<Answer> addAnswer(const WorkspaceId &Workspace,
@@ -170,6 +187,8 @@
   Impl->Server.closeIdleConnections();
 }
 
+std::size_t FrontEnd::serving() const { return Impl->Server.serving(); }
+
 void FrontEnd::publishAddresses(std::vector<std::string> Addresses) {
   const std::lock_guard<std::mutex> Lock(Impl->Mutex);
   Impl->Addresses = std::move(Addresses);
@@ -225,18 +244,33 @@
   Server.Patch(".*", Any);
   Server.Delete(".*", Any);
   Server.set_error_handler(
-      [](const httplib::Request &, httplib::Response &Response) {
+      [](const httplib::Request &Request, httplib::Response &Response) {
         if (!Response.body.empty())
           return;
         const int Status = Response.status;
         const ErrorId Id = Status == 413   ? ErrorId::TooLarge
                            : Status == 404 ? ErrorId::NotFound
                                            : ErrorId::InvalidRequest;
-        replyError(Response, Id, "the request cannot be served");
+        refuseRequest(Request, Response, Id, "the request cannot be served");
         Response.status = Status;
       });
 }
 
+/// A request id may return with another request; a claim never does. A claim
+/// without an answer here is checked, in case it should have been released.
+bool FrontEnd::State::claimMatches(const httplib::Request &Request,
+                                   const Answer *Found) {
+  if (!Request.has_header(ClaimHeader))
+    return Found != nullptr;
+  constexpr int HexBase = 16;
+  const std::string Text = Request.get_header_value(ClaimHeader);
+  const ClaimToken Wanted(std::strtoull(Text.c_str(), nullptr, HexBase));
+  Context.Control.post([this, Wanted] {
+    Context.Services.find<ClaimService>(service_name::Claims)->recheck(Wanted);
+  });
+  return Found != nullptr && Found->claim() == Wanted;
+}
+
 std::vector<std::string> FrontEnd::State::addresses() {
   const std::lock_guard<std::mutex> Lock(Mutex);
   std::vector<std::string> List = Addresses;
@@ -263,7 +297,7 @@
   }
   const RequestId Id(Request.matches[1].str());
   const std::shared_ptr<Answer> Found = Answers.find(Workspace->Id, Id);
-  if (Found != nullptr) {
+  if (claimMatches(Request, Found.get())) {
     replyWithAnswer(Response, Id, Found);
     return;
   }
@@ -279,8 +313,8 @@
                                httplib::Response &Response) {
   if (!Redirecting)
     return false;
-  replyError(Response, ErrorId::Draining, "the router is being stopped",
-             Milliseconds(1'000));
+  refuseRequest(Request, Response, ErrorId::Draining,
+                "the router is being stopped", Milliseconds(1'000));
   const std::vector<std::string> Others = addresses();
   if (Others.empty())
     return true;
@@ -313,25 +347,27 @@
   const auto Settings =
       Context.Services.find<SettingsService>(service_name::Settings);
   if (!Settings->ready()) {
-    replyError(Response, ErrorId::NotReady, "the settings are not known yet",
-               Milliseconds(1'000));
+    refuseRequest(Request, Response, ErrorId::NotReady,
+                  "the settings are not known yet", Milliseconds(1'000));
     return;
   }
   const auto Tree = Settings->current();
   const WorkspaceSettings *Workspace =
       findWorkspaceByKey(*Tree, bearerKey(Request));
   if (Workspace == nullptr) {
-    replyError(Response, ErrorId::Unauthenticated, "the key is not known");
+    refuseRequest(Request, Response, ErrorId::Unauthenticated,
+                  "the key is not known");
     return;
   }
   const RouteSettings *Route = findRoute(*Tree, Request.path);
   if (Route == nullptr) {
-    replyError(Response, ErrorId::NotFound, "no route matches the path");
+    refuseRequest(Request, Response, ErrorId::NotFound,
+                  "no route matches the path");
     return;
   }
   if (Runner->active() >= Context.Settings.MaxRequests) {
-    replyError(Response, ErrorId::QueueFull, "the router has no room",
-               Milliseconds(1'000));
+    refuseRequest(Request, Response, ErrorId::QueueFull,
+                  "the router has no room", Milliseconds(1'000));
     return;
   }
   RouterRequest Accepted;
@@ -339,7 +375,14 @@
   Accepted.Workspace = Workspace->Id;
   Accepted.Pool = *findPool(*Tree, Route->Pool);
   Accepted.Payload = makePayload(Request);
-  const std::string Key = Request.get_header_value("Idempotency-Key");
+  Accepted.BearerKey = bearerKey(Request);
+  constexpr std::size_t MaxIdBytes = 256;
+  if (Accepted.Id.Value.size() > MaxIdBytes) {
+    refuseRequest(Request, Response, ErrorId::InvalidRequest,
+                  "X-Request-Id is longer than 256 bytes");
+    return;
+  }
+  const std::string Key = Request.get_header_value(KeyHeader);
   if (!Key.empty())
     Accepted.Key = IdempotencyKey{Workspace->Id, Key};
   const bool SafeMethod = Request.method == "GET" || Request.method == "HEAD";
--- a/src/router/http_server.cpp
+++ b/src/router/http_server.cpp
@@ -149,6 +149,18 @@
   (void)send(Socket, Text.data(), Text.size(), MSG_NOSIGNAL | MSG_DONTWAIT);
 }
 
+/// Tells whether a request that was not read may have an idempotency key.
+bool mayBeKeyed(socket_t Socket) {
+  std::array<char, ReadBufferBytes> Buffer{};
+  const ssize_t Count =
+      recv(Socket, Buffer.data(), Buffer.size(), MSG_PEEK | MSG_DONTWAIT);
+  std::string Text(Buffer.data(), Count > 0 ? Count : 0);
+  for (char &C : Text)
+    C = static_cast<char>(std::tolower(static_cast<unsigned char>(C)));
+  const bool Complete = Text.find("\r\n\r\n") != std::string::npos;
+  return !Complete || Text.find("\nidempotency-key:") != std::string::npos;
+}
+
 /// Closes so that the client can still read the last reply.
 void closeGracefully(socket_t Socket) {
   shutdown(Socket, SHUT_WR);
@@ -191,6 +203,9 @@
     Problem Busy;
     Busy.Reason = {ErrorId::NoCapacity, "too many connections", ""};
     Busy.RetryAfter = Milliseconds(MillisPerSecond);
+    waitForSocket(Socket, POLLIN, PollSlice);
+    if (mayBeKeyed(Socket))
+      Busy.Outcome = Verdict::Unknown;
     sendProblem(Socket, "503 Service Unavailable", Busy);
   } else {
     serve(Socket);
@@ -213,10 +228,15 @@
         return;
     }
     Stream.beginRequest();
-    if (!process_request(Stream, Closing, Closed, nullptr))
+    ++Serving;
+    const bool Served = process_request(Stream, Closing, Closed, nullptr);
+    --Serving;
+    if (!Served)
       break;
   }
   Problem Failure;
+  // The request was not read, so it may have an idempotency key.
+  Failure.Outcome = Verdict::Unknown;
   if (Stream.timedOut()) {
     Failure.Reason = {ErrorId::InvalidRequest, "the request arrived too slowly",
                       ""};
--- a/src/router/keyed_claim_service.cpp
+++ b/src/router/keyed_claim_service.cpp
@@ -75,8 +75,8 @@
       ->ownerOf(roleOf(claimPartitionOf(Key)));
 }
 
-void KeyedClaimService::claim(const IdempotencyKey &Key,
-                              const RequestId &Request, Reply Done) {
+ClaimToken KeyedClaimService::claim(const IdempotencyKey &Key,
+                                    const RequestId &Request, Reply Done) {
   ClaimAsk Message;
   Message.Key = makeClaimKey(Key.Workspace, Key.Key);
   Message.Asker = {Self, Context.Start, Request, ClaimToken(Random.next())};
@@ -89,6 +89,11 @@
         Done(Outcome);
       };
   run(Requester.ask(Message, Context.Time.now()));
+  return Message.Asker.Token;
+}
+
+void KeyedClaimService::recheck(ClaimToken Token) {
+  run(Requester.recheck(Token, Context.Time.now()));
 }
 
 void KeyedClaimService::settle(const IdempotencyKey &Key,
@@ -122,7 +127,7 @@
   const Reply Done = std::move(Found->second);
   Pending.erase(Found);
   if (Message.Kind == ClaimAnswerKind::Granted) {
-    Done(ClaimGranted{Message.Token});
+    Done(ClaimGranted{});
   } else if (Message.Kind == ClaimAnswerKind::HeldBy) {
     Done(ClaimHeldBy{Message.Holder, Message.Confirmed});
   } else {
--- a/src/router/problem.cpp
+++ b/src/router/problem.cpp
@@ -78,4 +78,45 @@
                        nlohmann::json::error_handler_t::replace);
 }
 
+namespace {
+
+ErrorId parseErrorId(const std::string &Text) {
+  const int Last = static_cast<int>(ErrorId::Internal);
+  for (int Number = 0; Number < Last; ++Number)
+    if (toString(static_cast<ErrorId>(Number)) == Text)
+      return static_cast<ErrorId>(Number);
+  return ErrorId::Internal;
+}
+
+Verdict parseVerdict(const std::string &Text) {
+  if (Text == toString(Verdict::NotRun))
+    return Verdict::NotRun;
+  return Text == toString(Verdict::Answered) ? Verdict::Answered
+                                             : Verdict::Unknown;
+}
+
+std::string textAt(const nlohmann::json &Document, const char *Key) {
+  const auto Found = Document.find(Key);
+  return Found != Document.end() && Found->is_string()
+             ? Found->get<std::string>()
+             : std::string();
+}
+
+} // namespace
+
+std::optional<Problem> parseProblem(const std::string &Json) {
+  const auto Document = nlohmann::json::parse(Json, nullptr, false);
+  if (!Document.is_object() || !Document.contains("error_id"))
+    return std::nullopt;
+  Problem Failure;
+  Failure.Reason.Id = parseErrorId(textAt(Document, "error_id"));
+  Failure.Reason.Detail = textAt(Document, "detail");
+  Failure.Outcome = parseVerdict(textAt(Document, "outcome"));
+  Failure.Request = RequestId(textAt(Document, "request_id"));
+  const auto RetryAfter = Document.find("retry_after_s");
+  if (RetryAfter != Document.end() && RetryAfter->is_number())
+    Failure.RetryAfter = std::chrono::seconds(RetryAfter->get<std::int64_t>());
+  return Failure;
+}
+
 } // namespace mallowglade
--- a/src/router/upstream_call.cpp
+++ b/src/router/upstream_call.cpp
@@ -41,10 +41,28 @@
 
 } // namespace
 
+void CallCancellation::cancel() {
+  const std::lock_guard<std::mutex> Lock(Mutex);
+  Cancelled = true;
+  if (Action)
+    Action();
+}
+
+bool CallCancellation::cancelled() const {
+  const std::lock_guard<std::mutex> Lock(Mutex);
+  return Cancelled;
+}
+
+void CallCancellation::setAction(std::function<void()> End) {
+  const std::lock_guard<std::mutex> Lock(Mutex);
+  Action = std::move(End);
+}
+
 AttemptEnd callUpstream(const std::string &Address,
                         const UpstreamRequest &Request,
                         const UpstreamLimits &Limits,
-                        const UpstreamReceiver &Receiver) {
+                        const UpstreamReceiver &Receiver,
+                        CallCancellation *Cancellation) {
   const HostPort Target = splitAddress(Address);
   httplib::Client Client(Target.Host, Target.Port);
   Client.set_connection_timeout(Limits.ConnectTimeout);
@@ -66,13 +84,24 @@
     LastByte = std::chrono::steady_clock::now();
     if (!Refused)
       Receiver.OnBytes({Data, Size});
-    return true;
+    return Cancellation == nullptr || !Cancellation->cancelled();
   };
+  if (Cancellation != nullptr) {
+    Cancellation->setAction([&Client] { Client.stop(); });
+    if (Cancellation->cancelled()) {
+      Cancellation->setAction(nullptr);
+      return AttemptEnd::Cancelled;
+    }
+  }
   const httplib::Result Reply = Client.send(Message);
+  if (Cancellation != nullptr)
+    Cancellation->setAction(nullptr);
   if (Refused)
     return AttemptEnd::Refused;
   if (Reply)
     return AttemptEnd::Answered;
+  if (Cancellation != nullptr && Cancellation->cancelled())
+    return AttemptEnd::Cancelled;
   return classify(Reply.error(), std::chrono::steady_clock::now() - LastByte,
                   Limits.GapLimit);
 }
--- a/src/router/upstream_service.cpp
+++ b/src/router/upstream_service.cpp
@@ -9,6 +9,7 @@
 constexpr Milliseconds RefreshPeriod{1'000};
 constexpr Milliseconds ProbePeriod{1'000};
 constexpr Milliseconds ProbeTimeout{500};
+constexpr Milliseconds MaxPause{60'000};
 
 } // namespace
 
@@ -17,7 +18,8 @@
 std::vector<Upstream> UpstreamService::available(const PoolId &Pool) const {
   std::vector<Upstream> List;
   for (const auto &[Id, Known] : Entries)
-    if (Known.Info.Pool == Pool && !Known.Leaving && !Known.Down)
+    if (Known.Info.Pool == Pool && !Known.Leaving && !Known.Down &&
+        Known.PausedUntil <= Context.Time.now())
       List.push_back(Known.Info);
   return List;
 }
@@ -29,17 +31,32 @@
   Found->second.Leaving = true;
   Context.Log.info("upstream is leaving", {{"upstream", Id.Value}});
   notify();
+  if (!Found->second.Down)
+    probe(Id);
+}
+
+void UpstreamService::pause(const UpstreamId &Id, Milliseconds Span) {
+  const auto Found = Entries.find(Id);
+  if (Found == Entries.end())
+    return;
+  const Milliseconds Limited = std::min(Span, MaxPause);
+  Found->second.PausedUntil = Context.Time.now() + Limited;
+  notify();
+  Context.Control.postAfter(Limited,
+                            [Self = shared_from_this()] { Self->notify(); });
 }
 
 void UpstreamService::markDown(const UpstreamId &Id) {
   const auto Found = Entries.find(Id);
   if (Found == Entries.end() || Found->second.Down)
     return;
+  const bool Probing = Found->second.Leaving;
   Found->second.Down = true;
   Context.Log.warning("upstream does not accept connections",
                       {{"upstream", Id.Value}});
   notify();
-  probe(Id);
+  if (!Probing)
+    probe(Id);
 }
 
 void UpstreamService::onChange(std::function<void()> Changed) {
@@ -101,8 +118,12 @@
             const auto Again = Self->Entries.find(Id);
             if (Again == Self->Entries.end())
               return;
-            Again->second.Down = !Accepts;
-            if (Accepts)
+            Entry &Probed = Again->second;
+            // An upstream that left and came back is a new process.
+            if (Accepts && Probed.Down)
+              Probed.Leaving = false;
+            Probed.Down = !Accepts;
+            if (Accepts && !Probed.Leaving)
               Self->notify();
             else
               Self->probe(Id);
