Change the settings tree by compare-and-swap with an audit trail

Cause: the settings were fixed at the start of a router, so operators could not change shares, limits or credentials.

Change: a change of one branch is one transaction on head, packs and audit entry. The resulting tree is checked whole before it is accepted; a change of a branch that somebody else changed since the base version conflicts. Accepted change ids are kept with the audit head, so a lost reply or a repeated command is recognised. Each router keeps a copy that only moves to higher versions, learnt from the head, from peers and from a slow poll. The binary gets 'settings get', 'set', 'diff' and 'log'.

A share may now stand before its workspace: the two are in different branches, so the earlier rule left no order in which a workspace could be added.

--- a/include/mallowglade/detail/settings/instance_settings.hpp
+++ b/include/mallowglade/detail/settings/instance_settings.hpp
@@ -55,6 +55,8 @@
   std::string Policy;
   /// Tree used until the key-value service holds one (version 0).
   SettingsTree SeedTree;
+  /// The same tree as JSON text; empty if none is given.
+  std::string SeedTreeText;
 };
 
 /// @brief Parses and checks the instance settings.
--- a/include/mallowglade/detail/settings/json_reader.hpp
+++ b/include/mallowglade/detail/settings/json_reader.hpp
@@ -58,6 +58,8 @@
                                                         double Min, double Max);
   /// @return true if the key is present
   bool has(const std::string &Key) const;
+  /// @brief Accepts a key whose value the caller reads itself.
+  void allow(const std::string &Key);
   /// @brief Rejects keys that were not read.
   void finish();
   /// @brief Records an error at a key of this object.
--- a/include/mallowglade/detail/settings/tree.hpp
+++ b/include/mallowglade/detail/settings/tree.hpp
@@ -82,6 +82,9 @@
   std::vector<OperatorSettings> Operators;
 };
 
+/// @return true for 64 lower-case hexadecimal digits
+bool isSha256Hex(const std::string &Text);
+
 /// @brief Parses and checks a whole tree.
 ///
 /// The object has a `platform` branch (`pools`, `routes`, `shares`,
--- a/src/cli/config_command.cpp
+++ b/src/cli/config_command.cpp
@@ -1,17 +1,16 @@
-#include <mallowglade/detail/cli/command.hpp>
+#include <mallowglade/detail/cli/parser.hpp>
 
 #include <mallowglade/settings.hpp>
 
 #include <fmt/format.h>
-#include <tclap/CmdLine.h>
 
 namespace mallowglade::detail {
 
 ExitCode runConfigCheck(std::vector<std::string> Arguments) {
-  TCLAP::CmdLine Line("Checks an instance settings file.", ' ', "0.1.0");
+  CommandParser Parser(std::move(Arguments));
   TCLAP::UnlabeledValueArg<std::string> File("file", "settings file (JSON)",
-                                             true, "", "FILE", Line);
-  Line.parse(Arguments);
+                                             true, "", "FILE", Parser.line());
+  Parser.parse();
   bool Failed = false;
   const std::string Text = readFile(File.getValue(), Failed);
   if (Failed) {
--- a/src/cli/router_command.cpp
+++ b/src/cli/router_command.cpp
@@ -1,9 +1,8 @@
-#include <mallowglade/detail/cli/command.hpp>
+#include <mallowglade/detail/cli/parser.hpp>
 
 #include <mallowglade/router.hpp>
 
 #include <fmt/format.h>
-#include <tclap/CmdLine.h>
 
 #include <pthread.h>
 #include <signal.h>
@@ -50,10 +49,10 @@
 } // namespace
 
 ExitCode runRouter(std::vector<std::string> Arguments) {
-  TCLAP::CmdLine Line("Runs a router.", ' ', "0.1.0");
+  CommandParser Parser(std::move(Arguments));
   TCLAP::ValueArg<std::string> File("s", "settings", "settings file (JSON)",
-                                    true, "", "FILE", Line);
-  Line.parse(Arguments);
+                                    true, "", "FILE", Parser.line());
+  Parser.parse();
   bool Failed = false;
   const std::string Text = readFile(File.getValue(), Failed);
   if (Failed) {
--- a/src/router/app.cpp
+++ b/src/router/app.cpp
@@ -4,7 +4,9 @@
 #include <mallowglade/detail/router/front_end.hpp>
 #include <mallowglade/detail/router/local_dispatcher.hpp>
 #include <mallowglade/detail/router/request_runner.hpp>
+#include <mallowglade/detail/router/settings_admin.hpp>
 #include <mallowglade/detail/router/static_services.hpp>
+#include <mallowglade/detail/router/tree_settings.hpp>
 #include <mallowglade/detail/router/upstream_service.hpp>
 
 #include <condition_variable>
@@ -86,9 +88,10 @@
 }
 
 void RouterApp::State::buildServices() {
-  Services.add<SettingsService>(
-      service_name::Settings,
-      std::make_shared<StaticSettings>(Settings.SeedTree));
+  const auto Tree = std::make_shared<TreeSettingsService>(Context);
+  Services.add<SettingsService>(service_name::Settings, Tree);
+  Services.add<SettingsVersions>(service_name::SettingsVersions, Tree);
+  Parts.push_back(Tree);
   Member Self;
   Self.Id = RouterId(Settings.PeerAdvertise);
   Self.Start = Context.Start;
@@ -108,6 +111,7 @@
   Runner = std::make_shared<RequestRunner>(Context, Answers, Attempts);
   Front = std::make_shared<FrontEnd>(Context, Answers, Runner);
   Services.add<AdminRoutes>(service_name::Admin, Front);
+  std::make_shared<SettingsAdmin>(Context, Tree)->addRoutes(*Front);
 }
 
 Result<Success> RouterApp::start() {
--- /dev/null
+++ b/src/settings/audit.cpp
@@ -0,0 +1,153 @@
+#include <mallowglade/detail/settings/audit.hpp>
+
+#include <mallowglade/detail/settings/snapshot.hpp>
+
+#include <fmt/chrono.h>
+#include <fmt/format.h>
+
+namespace mallowglade {
+
+namespace {
+
+using nlohmann::json;
+
+std::string formatTime(WallTime Time) {
+  const auto Millis =
+      std::chrono::duration_cast<Milliseconds>(Time.time_since_epoch());
+  constexpr std::int64_t MillisPerSecond = 1'000;
+  const std::time_t Seconds = Millis.count() / MillisPerSecond;
+  return fmt::format("{:%Y-%m-%dT%H:%M:%S}.{:03}Z", fmt::gmtime(Seconds),
+                     Millis.count() % MillisPerSecond);
+}
+
+json encodeRecent(const std::vector<RecentChange> &Recent) {
+  json Items = json::array();
+  for (const RecentChange &Change : Recent)
+    Items.push_back({{"change_id", Change.ChangeId},
+                     {"digest", Change.Digest},
+                     {"version", Change.Version.Value}});
+  return Items;
+}
+
+AuditHead readAuditHead(const json &Document) {
+  AuditHead Head;
+  Head.Next = Document.at("next").get<std::uint64_t>();
+  Head.LastSha256 = Document.at("last_sha256").get<std::string>();
+  Head.LastEntryId = Document.at("last_entry_id").get<std::string>();
+  for (const json &Item : Document.at("recent"))
+    Head.Recent.push_back(
+        {Item.at("change_id").get<std::string>(),
+         Item.at("digest").get<std::string>(),
+         SettingsVersion(Item.at("version").get<std::uint64_t>())});
+  return Head;
+}
+
+/// A refused change may be of any size; its entry keeps a digest of the rest.
+json boundedDifferences(const AuditEntry &Entry) {
+  json Differences = differencesOf(Entry.Before, Entry.After);
+  constexpr std::size_t RefusedLimit = 65'536;
+  const std::string Text = Differences.dump();
+  if (!Entry.Refused || Text.size() <= RefusedLimit)
+    return Differences;
+  return {{"omitted_bytes", Text.size()}, {"sha256", sha256Hex(Text)}};
+}
+
+AuditHead nextHead(const AuditEntry &Entry, const AuditHead &Head,
+                   const std::string &Record, const std::string &Digest) {
+  AuditHead Next = Head;
+  ++Next.Next;
+  Next.LastSha256 = sha256Hex(Record);
+  Next.LastEntryId = Entry.EntryId;
+  if (!Entry.Accepted)
+    return Next;
+  Next.Recent.push_back({Entry.ChangeId, Digest, *Entry.Accepted});
+  if (Next.Recent.size() > RecentChangeLimit)
+    Next.Recent.erase(Next.Recent.begin());
+  return Next;
+}
+
+} // namespace
+
+std::string encodeAuditHead(const AuditHead &Head) {
+  return json{{"next", Head.Next},
+              {"last_sha256", Head.LastSha256},
+              {"last_entry_id", Head.LastEntryId},
+              {"recent", encodeRecent(Head.Recent)}}
+      .dump();
+}
+
+Result<AuditHead> parseAuditHead(std::string_view Text) {
+  try {
+    return readAuditHead(json::parse(Text));
+  } catch (const json::exception &) {
+    return Error{ErrorId::InvalidJson, "malformed audit head", ""};
+  }
+}
+
+std::string auditSegmentPrefix(std::uint64_t Segment) {
+  return fmt::format("{}{:08}/", settings_layout::AuditPrefix, Segment);
+}
+
+std::string auditEntryKey(std::uint64_t Number) {
+  return fmt::format(
+      "{}{:04}", auditSegmentPrefix(Number / settings_layout::SegmentEntries),
+      Number % settings_layout::SegmentEntries);
+}
+
+json differencesOf(const json &Before, const json &After) {
+  json Differences = json::array();
+  for (const json &Step : json::diff(Before, After)) {
+    const auto Path = Step["path"].get<std::string>();
+    const json::json_pointer Pointer(Path);
+    json Item{{"path", Path}};
+    if (Step["op"] != "add" && Before.contains(Pointer))
+      Item["before"] = Before.at(Pointer);
+    if (Step["op"] != "remove")
+      Item["after"] = Step["value"];
+    Differences.push_back(std::move(Item));
+  }
+  return Differences;
+}
+
+std::string encodeAuditEntry(const AuditEntry &Entry, const AuditHead &Head) {
+  json Record{{"entry", Head.Next},
+              {"entry_id", Entry.EntryId},
+              {"previous_sha256", Head.LastSha256},
+              {"change_id", Entry.ChangeId},
+              {"who", Entry.Who},
+              {"when", formatTime(Entry.When)},
+              {"from", Entry.From},
+              {"router", Entry.Router.Value},
+              {"branch", Entry.Branch},
+              {"changes", boundedDifferences(Entry)},
+              {"accepted", Entry.Accepted.has_value()}};
+  if (Entry.Accepted)
+    Record["version"] = Entry.Accepted->Value;
+  if (Entry.Refused)
+    Record["refused"] = {{"error_id", toString(Entry.Refused->Id)},
+                         {"path", Entry.Refused->Path},
+                         {"detail", Entry.Refused->Detail}};
+  return Record.dump(-1, ' ', false, json::error_handler_t::replace);
+}
+
+void appendAuditEntry(const AuditEntry &Entry, const AuditHead &Head,
+                      Revision At, const std::string &Digest,
+                      Transaction &Change) {
+  const std::string Record = encodeAuditEntry(Entry, Head);
+  const std::string Key = auditEntryKey(Head.Next);
+  const AuditHead Next = nextHead(Entry, Head, Record, Digest);
+  Change.Conditions.push_back({settings_layout::AuditHeadKey, At});
+  Change.Conditions.push_back({Key, Revision(0)});
+  Change.Puts.push_back(
+      {settings_layout::AuditHeadKey, encodeAuditHead(Next), {}});
+  Change.Puts.push_back({Key, Record, {}});
+  if (Next.Next % settings_layout::SegmentEntries != 0)
+    return;
+  const json Seal{{"entries", settings_layout::SegmentEntries},
+                  {"last_sha256", Next.LastSha256}};
+  const std::uint64_t Segment = Head.Next / settings_layout::SegmentEntries;
+  Change.Puts.push_back(
+      {auditSegmentPrefix(Segment) + "sealed", Seal.dump(), {}});
+}
+
+} // namespace mallowglade
--- a/src/settings/instance_settings.cpp
+++ b/src/settings/instance_settings.cpp
@@ -58,6 +58,10 @@
     Root.fail(ErrorId::OutOfRange, "fleet_key",
               "at least 16 characters are required");
   Settings.PlatformKeySha256 = Root.text("platform_key_sha256", "");
+  const bool HasKey = !Settings.PlatformKeySha256.empty();
+  if (HasKey && !isSha256Hex(Settings.PlatformKeySha256))
+    Root.fail(ErrorId::OutOfRange, "platform_key_sha256",
+              "64 lower-case hexadecimal digits are expected");
 }
 
 void readLimits(JsonReader Limits, InstanceSettings &Settings) {
@@ -118,6 +122,7 @@
   if (!isOk(Tree))
     return errorOf(Tree);
   Settings.SeedTree = valueOf(Tree);
+  Settings.SeedTreeText = valueOf(Document)["seed_tree"].dump();
   return Settings;
 }
 
--- a/src/settings/json_reader.cpp
+++ b/src/settings/json_reader.cpp
@@ -267,6 +267,8 @@
   return Items;
 }
 
+void JsonReader::allow(const std::string &Key) { Read.push_back(Key); }
+
 void JsonReader::finish() {
   for (const auto &[Key, Value] : Object->items())
     if (std::find(Read.begin(), Read.end(), Key) == Read.end())
