--- a/src/router/app.cpp
+++ b/src/router/app.cpp
@@ -7,7 +7,9 @@
 #include <mallowglade/detail/router/local_dispatcher.hpp>
 #include <mallowglade/detail/router/peer_part.hpp>
 #include <mallowglade/detail/router/request_runner.hpp>
+#include <mallowglade/detail/router/settings_admin.hpp>
 #include <mallowglade/detail/router/static_services.hpp>
+#include <mallowglade/detail/router/tree_settings.hpp>
 #include <mallowglade/detail/router/upstream_service.hpp>
 
 #include <condition_variable>
@@ -51,7 +53,13 @@
                 Blocking, Store, Instances, Services, startTime(Time)} {}
 
   void buildServices();
-  std::shared_ptr<CellDispatcher> buildDispatcher();
+  void buildPeers();
+  void buildSettings();
+  void buildMembers();
+  void buildClaims();
+  void buildUpstreams();
+  void buildDispatcher();
+  void buildFrontEnd();
   void housekeeping();
   void finishDrain();
   void endNow();
@@ -70,6 +78,8 @@
   RouterContext Context;
   std::vector<std::shared_ptr<RouterPart>> Parts;
   std::shared_ptr<PeerPart> Peers;
+  std::shared_ptr<TreeSettingsService> Tree;
+  std::shared_ptr<CellDispatcher> Cells;
   std::shared_ptr<LocalDispatcher> Local;
   std::shared_ptr<RequestRunner> Runner;
   std::shared_ptr<FrontEnd> Front;
@@ -93,12 +103,29 @@
 }
 
 void RouterApp::State::buildServices() {
+  buildPeers();
+  buildSettings();
+  buildMembers();
+  buildClaims();
+  buildUpstreams();
+  buildDispatcher();
+  buildFrontEnd();
+}
+
+void RouterApp::State::buildPeers() {
   Peers = std::make_shared<PeerPart>(Context);
   Services.add<PeerNetwork>(service_name::Peers, Peers->network());
   Parts.push_back(Peers);
-  Services.add<SettingsService>(
-      service_name::Settings,
-      std::make_shared<StaticSettings>(Settings.SeedTree));
+}
+
+void RouterApp::State::buildSettings() {
+  Tree = std::make_shared<TreeSettingsService>(Context);
+  Services.add<SettingsService>(service_name::Settings, Tree);
+  Services.add<SettingsVersions>(service_name::SettingsVersions, Tree);
+  Parts.push_back(Tree);
+}
+
+void RouterApp::State::buildMembers() {
   Member Self;
   Self.Id = RouterId(Settings.PeerAdvertise);
   Self.Start = Context.Start;
@@ -106,32 +133,40 @@
   Self.CallerAddress = Settings.Advertise;
   Services.add<MemberService>(service_name::Members,
                               std::make_shared<SingleMember>(Self));
+}
+
+void RouterApp::State::buildClaims() {
   auto Claims = std::make_shared<KeyedClaimService>(Context);
   Services.add<ClaimService>(service_name::Claims, Claims);
   Parts.push_back(Claims);
+}
+
+void RouterApp::State::buildUpstreams() {
   auto Upstreams = std::make_shared<UpstreamService>(Context);
   Services.add<UpstreamDirectory>(service_name::Upstreams, Upstreams);
   Parts.push_back(Upstreams);
-  const std::shared_ptr<CellDispatcher> Cells = buildDispatcher();
-  Runner = std::make_shared<RequestRunner>(Context, Answers, Attempts);
-  Front = std::make_shared<FrontEnd>(Context, Answers, Runner);
-  Services.add<AdminRoutes>(service_name::Admin, Front);
-  if (Cells != nullptr)
-    Cells->addRoutes(*Front);
 }
 
-std::shared_ptr<CellDispatcher> RouterApp::State::buildDispatcher() {
+void RouterApp::State::buildDispatcher() {
   if (Settings.Policy == "cell") {
-    auto Cells = std::make_shared<CellDispatcher>(Context);
+    Cells = std::make_shared<CellDispatcher>(Context);
     Services.add<Dispatcher>(service_name::Dispatcher, Cells);
     Parts.push_back(Cells);
-    return Cells;
+    return;
   }
   Local = std::make_shared<LocalDispatcher>(Context, Settings.Policy == "random"
                                                          ? LocalPolicy::Random
                                                          : LocalPolicy::Split);
   Services.add<Dispatcher>(service_name::Dispatcher, Local);
-  return nullptr;
+}
+
+void RouterApp::State::buildFrontEnd() {
+  Runner = std::make_shared<RequestRunner>(Context, Answers, Attempts);
+  Front = std::make_shared<FrontEnd>(Context, Answers, Runner);
+  Services.add<AdminRoutes>(service_name::Admin, Front);
+  std::make_shared<SettingsAdmin>(Context, Tree)->addRoutes(*Front);
+  if (Cells != nullptr)
+    Cells->addRoutes(*Front);
 }
 
 Result<Success> RouterApp::start() {
