--- a/include/mallowglade/detail/router/http_server.hpp
+++ b/include/mallowglade/detail/router/http_server.hpp
@@ -9,6 +9,19 @@
 
 namespace mallowglade {
 
+/// @brief A request header that the HTTP library would act on.
+struct PreservedHeader {
+  /// Name on the wire.
+  const char *Name;
+  /// Name under which handlers find it.
+  const char *KeptAs;
+};
+
+/// @brief Headers that `HttpServer` renames before the body is read.
+inline constexpr PreservedHeader PreservedHeaders[] = {
+    {"Content-Type", "X-Mallowglade-Content-Type"},
+    {"Content-Encoding", "X-Mallowglade-Content-Encoding"}};
+
 /// @brief Limits of a server towards its clients.
 struct HttpServerLimits {
   /// Most connections served at once; further ones get 503 at once.
--- a/src/router/front_end.cpp
+++ b/src/router/front_end.cpp
@@ -5,6 +5,7 @@
 
 #include <nlohmann/json.hpp>
 
+#include <span>
 #include <thread>
 
 namespace mallowglade {
@@ -13,10 +14,21 @@
 
 constexpr const char *ProblemType = "application/problem+json";
 constexpr std::string_view BearerPrefix = "Bearer ";
-constexpr std::string_view HopHeaders[] = {
-    "connection", "keep-alive",        "transfer-encoding", "upgrade",
-    "te",         "proxy-connection",  "content-length",    "host",
-    "trailer",    "proxy-authenticate"};
+constexpr std::string_view HopHeaders[] = {"connection",
+                                           "keep-alive",
+                                           "transfer-encoding",
+                                           "upgrade",
+                                           "te",
+                                           "proxy-connection",
+                                           "content-length",
+                                           "host",
+                                           "trailer",
+                                           "proxy-authenticate",
+                                           "expect"};
+/// Headers that the router sets itself, or whose effect on the reply it could
+/// not pass on to the caller (compression).
+constexpr std::string_view OwnHeaders[] = {"x-request-id", "x-attempt",
+                                           "accept-encoding", "range"};
 constexpr int RedirectStatus = 307;
 
 std::string lowerCase(std::string Text) {
@@ -47,24 +59,41 @@
   replyProblem(Response, Failure);
 }
 
+bool isListed(std::string_view Name, std::span<const std::string_view> List) {
+  return std::find(List.begin(), List.end(), Name) != List.end();
+}
+
+/// @return the name that the caller used, in lower case
+std::string originalName(const std::string &Name) {
+  for (const PreservedHeader &Header : PreservedHeaders)
+    if (lowerCase(Name) == lowerCase(Header.KeptAs))
+      return lowerCase(Header.Name);
+  return lowerCase(Name);
+}
+
 UpstreamRequest makePayload(const httplib::Request &Request) {
   UpstreamRequest Payload;
   Payload.Method = Request.method;
   Payload.Target = Request.target;
   Payload.Body = Request.body;
   for (const auto &[Name, Value] : Request.headers) {
-    const std::string Lower = lowerCase(Name);
+    const std::string Lower = originalName(Name);
     const bool Internal = Lower == "authorization" ||
                           Lower.starts_with("remote_") ||
                           Lower.starts_with("local_");
-    const bool Hop = std::find(std::begin(HopHeaders), std::end(HopHeaders),
-                               Lower) != std::end(HopHeaders);
-    if (!Internal && !Hop)
+    if (!Internal && !isListed(Lower, HopHeaders) &&
+        !isListed(Lower, OwnHeaders))
       Payload.Headers[Lower] = Value;
   }
   return Payload;
 }
 
+/// A body that no engine can read is rejected before it takes a slot.
+bool isWellFormed(const PoolSettings &Pool, const httplib::Request &Request) {
+  return Pool.Kind != PoolKind::Model || Request.method != "POST" ||
+         nlohmann::json::accept(Request.body);
+}
+
 /// A stream that fails after its head ends with an event that says so.
 std::string errorEvent(const Problem &Failure) {
   return "event: error\ndata: " + toJson(Failure) + "\n\n";
@@ -329,6 +358,11 @@
     replyError(Response, ErrorId::NotFound, "no route matches the path");
     return;
   }
+  const PoolSettings &Pool = *findPool(*Tree, Route->Pool);
+  if (!isWellFormed(Pool, Request)) {
+    replyError(Response, ErrorId::InvalidRequest, "the body is not valid JSON");
+    return;
+  }
   if (Runner->active() >= Context.Settings.MaxRequests) {
     replyError(Response, ErrorId::QueueFull, "the router has no room",
                Milliseconds(1'000));
@@ -337,7 +371,7 @@
   RouterRequest Accepted;
   Accepted.Id = RequestId(Request.get_header_value("X-Request-Id"));
   Accepted.Workspace = Workspace->Id;
-  Accepted.Pool = *findPool(*Tree, Route->Pool);
+  Accepted.Pool = Pool;
   Accepted.Payload = makePayload(Request);
   const std::string Key = Request.get_header_value("Idempotency-Key");
   if (!Key.empty())
--- a/src/router/http_server.cpp
+++ b/src/router/http_server.cpp
@@ -39,7 +39,15 @@
   void beginRequest() {
     Started = std::chrono::steady_clock::now();
     Received = 0;
+    MaxReceived = MaxHeaderBytes;
+    HeadersRead = false;
   }
+  /// The body may follow; only its limit applies from now on.
+  void endHeaders() {
+    HeadersRead = true;
+    MaxReceived = Limits.MaxBodyBytes + MaxHeaderBytes;
+  }
+  bool headersRead() const { return HeadersRead; }
   bool timedOut() const { return TimedOut; }
   bool tooLarge() const { return TooLarge; }
 
@@ -59,8 +67,10 @@
     return static_cast<ssize_t>(Count);
   }
 
+  /// Writes nothing once reading has failed: the reply that names the reason
+  /// is sent at the end and has to be the only one.
   ssize_t write(const char *Data, std::size_t Size) override {
-    if (!is_writable())
+    if (TimedOut || TooLarge || !is_writable())
       return -1;
     return send(Socket, Data, Size, MSG_NOSIGNAL);
   }
@@ -110,7 +120,7 @@
   }
 
   bool fill() {
-    if (Received > Limits.MaxBodyBytes + MaxHeaderBytes) {
+    if (Received > MaxReceived) {
       TooLarge = true;
       return false;
     }
@@ -131,6 +141,8 @@
   const HttpServerLimits &Limits;
   std::chrono::steady_clock::time_point Started;
   std::uint64_t Received = 0;
+  std::uint64_t MaxReceived = MaxHeaderBytes;
+  bool HeadersRead = false;
   bool TimedOut = false;
   bool TooLarge = false;
   std::array<char, ReadBufferBytes> Buffer{};
@@ -154,12 +166,52 @@
   shutdown(Socket, SHUT_WR);
   std::array<char, 4096> Discard{};
   constexpr Milliseconds LingerLimit{200};
-  while (waitForSocket(Socket, POLLIN, LingerLimit) &&
+  // A client that never stops sending must not keep the thread.
+  constexpr Milliseconds LingerTotal{2'000};
+  const auto End = std::chrono::steady_clock::now() + LingerTotal;
+  while (std::chrono::steady_clock::now() < End &&
+         waitForSocket(Socket, POLLIN, LingerLimit) &&
          recv(Socket, Discard.data(), Discard.size(), MSG_DONTWAIT) > 0) {
   }
   close(Socket);
 }
 
+/// Keeps the library from parsing, unpacking or cutting what belongs to the
+/// upstream and the caller: forms, packed bodies and byte ranges.
+void passUnchanged(httplib::Request &Request) {
+  Request.ranges.clear();
+  // Without a length the library would read until the client closes.
+  if (!Request.has_header("Content-Length") &&
+      !Request.has_header("Transfer-Encoding"))
+    Request.headers.emplace("Content-Length", "0");
+  for (const PreservedHeader &Header : PreservedHeaders) {
+    Request.headers.erase(Header.KeptAs);
+    const auto Found = Request.headers.find(Header.Name);
+    if (Found == Request.headers.end())
+      continue;
+    const std::string Value = Found->second;
+    Request.headers.erase(Header.Name);
+    Request.headers.emplace(Header.KeptAs, Value);
+  }
+}
+
+/// Names the reason why a request could not be read, if there is one.
+void reportReadFailure(socket_t Socket, bool TimedOut, bool TooLarge,
+                       bool HeadersRead) {
+  Problem Failure;
+  if (TimedOut) {
+    Failure.Reason = {ErrorId::InvalidRequest, "the request arrived too slowly",
+                      ""};
+    sendProblem(Socket, "408 Request Timeout", Failure);
+  } else if (TooLarge && !HeadersRead) {
+    Failure.Reason = {ErrorId::TooLarge, "the headers are too large", ""};
+    sendProblem(Socket, "431 Request Header Fields Too Large", Failure);
+  } else if (TooLarge) {
+    Failure.Reason = {ErrorId::TooLarge, "the request is too large", ""};
+    sendProblem(Socket, "413 Payload Too Large", Failure);
+  }
+}
+
 /// Hands connections to threads of a pool.
 class PoolTaskQueue final : public httplib::TaskQueue {
 public:
@@ -213,18 +265,17 @@
         return;
     }
     Stream.beginRequest();
-    if (!process_request(Stream, Closing, Closed, nullptr))
+    const auto Prepare = [&Stream](httplib::Request &Request) {
+      Stream.endHeaders();
+      passUnchanged(Request);
+    };
+    // After malformed headers the next bytes have no known meaning.
+    if (!process_request(Stream, Closing, Closed, Prepare) ||
+        !Stream.headersRead())
       break;
   }
-  Problem Failure;
-  if (Stream.timedOut()) {
-    Failure.Reason = {ErrorId::InvalidRequest, "the request arrived too slowly",
-                      ""};
-    sendProblem(Socket, "408 Request Timeout", Failure);
-  } else if (Stream.tooLarge()) {
-    Failure.Reason = {ErrorId::TooLarge, "the request is too large", ""};
-    sendProblem(Socket, "413 Payload Too Large", Failure);
-  }
+  reportReadFailure(Socket, Stream.timedOut(), Stream.tooLarge(),
+                    Stream.headersRead());
 }
 
 } // namespace mallowglade
