--- a/tests/standins/standin-service.cpp
+++ b/tests/standins/standin-service.cpp
@@ -83,6 +83,8 @@
   }
 
   void control(const json &Change) {
+    if (!Change.is_object())
+      return;
     if (Change.contains("mode"))
       State = parseMode(Change["mode"]);
     if (Change.contains("delay_ms"))
@@ -136,17 +138,14 @@
                                     httplib::Response &Response) {
     Response.set_content(Desk.executions().dump(), "application/json");
   });
-  Server.Post("/control", [&Desk](const httplib::Request &Request,
-                                  httplib::Response &Response) {
-    const json Change = json::parse(Request.body, nullptr, false);
-    if (Change.is_object())
-      Desk.control(Change);
-    Response.set_content("{}", "application/json");
-  });
   const auto Any = [&Desk](const httplib::Request &Request,
                            httplib::Response &Response,
                            const httplib::ContentReader &Reader) {
-    Desk.serve(Request, readBody(Request, Reader), Response);
+    const std::string Body = readBody(Request, Reader);
+    if (Request.path == "/control")
+      Desk.control(json::parse(Body, nullptr, false));
+    else
+      Desk.serve(Request, Body, Response);
   };
   Server.Get("/.*", [&Desk](const httplib::Request &Request,
                             httplib::Response &Response) {
