--- a/tests/integration/fleet.cpp
+++ b/tests/integration/fleet.cpp
@@ -89,6 +89,8 @@
     return !Wanted.OnBytes || Wanted.OnBytes({Data, Size});
   };
   const httplib::Result Outcome = Client.send(Message);
+  Received.NotSent = Outcome.error() == httplib::Error::Connection ||
+                     Outcome.error() == httplib::Error::ConnectionTimeout;
   if (!Outcome)
     return Received;
   Received.Status = Outcome->status;
@@ -114,6 +116,26 @@
   return send(Wanted);
 }
 
+Reply getAsOperator(const std::string &Router, const std::string &Path) {
+  Call Wanted;
+  Wanted.Address = Router;
+  Wanted.Path = Path;
+  Wanted.Headers = {{"Authorization", std::string("Bearer ") + OperatorKey}};
+  return send(Wanted);
+}
+
+Reply postAsOperator(const std::string &Router, const std::string &Path,
+                     const json &Body) {
+  Call Wanted;
+  Wanted.Address = Router;
+  Wanted.Method = "POST";
+  Wanted.Path = Path;
+  Wanted.Body = Body.dump();
+  Wanted.Headers = {{"Authorization", std::string("Bearer ") + OperatorKey},
+                    {"Content-Type", "application/json"}};
+  return send(Wanted);
+}
+
 Call chatCall(const std::string &Router, const std::string &Workspace,
               const json &Body) {
   Call Wanted;
@@ -256,6 +278,7 @@
                  {{"key_value", {Platform->Address}},
                   {"instance_list", Platform->Address}}},
                 {"fleet_key", "integration-test-key"},
+                {"platform_key_sha256", mallowglade::sha256Hex(OperatorKey)},
                 {"log", {{"level", "info"}}}};
   Settings.merge_patch(Overrides);
   const std::string File = writeFile(Name + ".json", Settings);
--- a/tests/integration/fleet.hpp
+++ b/tests/integration/fleet.hpp
@@ -22,6 +22,9 @@
 /// Upper limit of every wait; only a failed test reaches it.
 constexpr Milliseconds WaitLimit{60'000};
 
+/// Credential of the platform operator on every router.
+constexpr const char *OperatorKey = "operator-key";
+
 /// Polls until a condition holds.
 /// @return false if it did not hold within the limit
 bool waitUntil(const std::function<bool()> &Condition,
@@ -56,6 +59,8 @@
 /// Reply to an HTTP call; `Status` is 0 if there was no complete reply.
 struct Reply {
   int Status = 0;
+  /// True if no connection could be made.
+  bool NotSent = false;
   std::string Body;
   httplib::Headers Headers;
 
@@ -81,6 +86,10 @@
 Reply get(const std::string &Address, const std::string &Path);
 Reply post(const std::string &Address, const std::string &Path,
            const json &Body);
+/// Calls under `/admin/` with the platform operator's credential.
+Reply getAsOperator(const std::string &Router, const std::string &Path);
+Reply postAsOperator(const std::string &Router, const std::string &Path,
+                     const json &Body);
 
 /// Sends raw bytes and returns everything until the peer closes.
 std::string exchangeRaw(const std::string &Address, const std::string &Bytes);
