--- a/src/router/app.cpp
+++ b/src/router/app.cpp
@@ -1,7 +1,9 @@
 #include <mallowglade/router.hpp>
 
 #include <mallowglade/detail/router/answer.hpp>
+#include <mallowglade/detail/router/cell_dispatcher.hpp>
 #include <mallowglade/detail/router/front_end.hpp>
+#include <mallowglade/detail/router/keyed_claim_service.hpp>
 #include <mallowglade/detail/router/local_dispatcher.hpp>
 #include <mallowglade/detail/router/peer_part.hpp>
 #include <mallowglade/detail/router/request_runner.hpp>
@@ -49,6 +51,7 @@
                 Blocking, Store, Instances, Services, startTime(Time)} {}
 
   void buildServices();
+  std::shared_ptr<CellDispatcher> buildDispatcher();
   void housekeeping();
   void finishDrain();
   void endNow();
@@ -83,6 +86,8 @@
 RouterApp::~RouterApp() {
   Impl->Front->stop();
   Impl->Control.stop();
+  for (const auto &Part : Impl->Parts)
+    Part->stop();
   Impl->Blocking.stop();
   Impl->Attempts.stop();
 }
@@ -101,18 +106,32 @@
   Self.CallerAddress = Settings.Advertise;
   Services.add<MemberService>(service_name::Members,
                               std::make_shared<SingleMember>(Self));
-  Services.add<ClaimService>(service_name::Claims,
-                             std::make_shared<NoClaims>());
+  auto Claims = std::make_shared<KeyedClaimService>(Context);
+  Services.add<ClaimService>(service_name::Claims, Claims);
+  Parts.push_back(Claims);
   auto Upstreams = std::make_shared<UpstreamService>(Context);
   Services.add<UpstreamDirectory>(service_name::Upstreams, Upstreams);
   Parts.push_back(Upstreams);
+  const std::shared_ptr<CellDispatcher> Cells = buildDispatcher();
+  Runner = std::make_shared<RequestRunner>(Context, Answers, Attempts);
+  Front = std::make_shared<FrontEnd>(Context, Answers, Runner);
+  Services.add<AdminRoutes>(service_name::Admin, Front);
+  if (Cells != nullptr)
+    Cells->addRoutes(*Front);
+}
+
+std::shared_ptr<CellDispatcher> RouterApp::State::buildDispatcher() {
+  if (Settings.Policy == "cell") {
+    auto Cells = std::make_shared<CellDispatcher>(Context);
+    Services.add<Dispatcher>(service_name::Dispatcher, Cells);
+    Parts.push_back(Cells);
+    return Cells;
+  }
   Local = std::make_shared<LocalDispatcher>(Context, Settings.Policy == "random"
                                                          ? LocalPolicy::Random
                                                          : LocalPolicy::Split);
   Services.add<Dispatcher>(service_name::Dispatcher, Local);
-  Runner = std::make_shared<RequestRunner>(Context, Answers, Attempts);
-  Front = std::make_shared<FrontEnd>(Context, Answers, Runner);
-  Services.add<AdminRoutes>(service_name::Admin, Front);
+  return nullptr;
 }
 
 Result<Success> RouterApp::start() {
@@ -136,7 +155,8 @@
 }
 
 void RouterApp::State::housekeeping() {
-  Local->tick();
+  if (Local != nullptr)
+    Local->tick();
   Answers.expire(Time.now());
   std::vector<std::string> Addresses;
   const auto Members =
