Quarantine requests that crash upstreams

Cause: a request that crashes each upstream was repeated on up to four of them, and again each time a caller sent it.

Change: CrashQuarantine guards the placements of cells (suspects run alone or with cleared requests, one at a time; two crashes alone or three in all convict). QuarantineService shares the records among routers and serves GET /admin/quarantine and POST /admin/quarantine/release. Convicted requests get 403 request.quarantined, also while they wait.

Conclusion: the bound of three holds where crashes are reported within three seconds of each other.

--- a/include/mallowglade/detail/router/context.hpp
+++ b/include/mallowglade/detail/router/context.hpp
@@ -20,6 +20,7 @@
 inline constexpr const char *Members = "members";
 inline constexpr const char *Peers = "peers";
 inline constexpr const char *Admin = "admin";
+inline constexpr const char *Quarantine = "quarantine";
 inline constexpr const char *SettingsVersions = "settings_versions";
 inline constexpr const char *Status = "status";
 } // namespace service_name
--- a/include/mallowglade/detail/router/request_run.hpp
+++ b/include/mallowglade/detail/router/request_run.hpp
@@ -12,6 +12,8 @@
   AttemptHistory History;
   std::vector<UpstreamId> Avoid;
   EventStream Events;
+  /// Identifies equal requests of a workspace.
+  Fingerprint Print;
   bool Claimed = false;
   /// True once the request has its verdict; control thread only.
   bool Ended = false;
--- a/include/mallowglade/detail/router/request_runner.hpp
+++ b/include/mallowglade/detail/router/request_runner.hpp
@@ -42,6 +42,9 @@
   /// @brief Ends all requests with a problem document at once; new ones are
   ///   refused. Safe to call from any thread.
   void abortAll();
+  /// @brief Ends waiting requests whose fingerprint was convicted; control
+  ///   thread only.
+  void refuseConvicted();
   /// @return requests that have not ended
   std::size_t active() const { return Active; }
 
@@ -60,6 +63,7 @@
                      std::optional<Problem> Failure);
   void holderGone(const RunPointer &Current);
   void enqueue(const RunPointer &Current);
+  bool refuseIfConvicted(const RunPointer &Current);
   void dispatch(const RunPointer &Current, const Assignment &Where);
   void runAttempt(const RunPointer &Current, const Assignment &Where);
   void attemptEnded(const RunPointer &Current, const Assignment &Where,
--- a/include/mallowglade/outcomes.hpp
+++ b/include/mallowglade/outcomes.hpp
@@ -9,4 +9,6 @@
 #include <mallowglade/detail/outcomes/claim_partition.hpp>
 #include <mallowglade/detail/outcomes/claim_record.hpp>
 #include <mallowglade/detail/outcomes/claim_requester.hpp>
+#include <mallowglade/detail/outcomes/crash_quarantine.hpp>
+#include <mallowglade/detail/outcomes/quarantine_codec.hpp>
 #include <mallowglade/detail/outcomes/verdict.hpp>
--- a/src/router/app.cpp
+++ b/src/router/app.cpp
@@ -6,6 +6,7 @@
 #include <mallowglade/detail/router/keyed_claim_service.hpp>
 #include <mallowglade/detail/router/local_dispatcher.hpp>
 #include <mallowglade/detail/router/peer_part.hpp>
+#include <mallowglade/detail/router/quarantine_service.hpp>
 #include <mallowglade/detail/router/request_runner.hpp>
 #include <mallowglade/detail/router/settings_admin.hpp>
 #include <mallowglade/detail/router/static_services.hpp>
@@ -62,6 +63,7 @@
   void buildMembers();
   void buildClaims();
   void buildUpstreams();
+  void buildQuarantine();
   void buildDispatcher();
   void buildFrontEnd();
   void housekeeping();
@@ -86,6 +88,7 @@
   std::shared_ptr<TreeSettingsService> Tree;
   std::shared_ptr<CellDispatcher> Cells;
   std::shared_ptr<LocalDispatcher> Local;
+  std::shared_ptr<QuarantineService> Quarantine;
   std::shared_ptr<RequestRunner> Runner;
   std::shared_ptr<FrontEnd> Front;
   std::optional<TimePoint> DrainStarted;
@@ -115,6 +118,7 @@
   buildMembers();
   buildClaims();
   buildUpstreams();
+  buildQuarantine();
   buildDispatcher();
   buildFrontEnd();
 }
@@ -148,6 +152,12 @@
   Parts.push_back(Claims);
 }
 
+void RouterApp::State::buildQuarantine() {
+  Quarantine = std::make_shared<QuarantineService>(Context);
+  Services.add<QuarantineService>(service_name::Quarantine, Quarantine);
+  Parts.push_back(Quarantine);
+}
+
 void RouterApp::State::buildUpstreams() {
   auto Upstreams = std::make_shared<UpstreamService>(Context);
   Services.add<UpstreamDirectory>(service_name::Upstreams, Upstreams);
@@ -156,7 +166,7 @@
 
 void RouterApp::State::buildDispatcher() {
   if (Settings.Policy == "cell") {
-    Cells = std::make_shared<CellDispatcher>(Context);
+    Cells = std::make_shared<CellDispatcher>(Context, Quarantine->guard());
     Services.add<Dispatcher>(service_name::Dispatcher, Cells);
     Parts.push_back(Cells);
     return;
@@ -171,6 +181,11 @@
   Runner = std::make_shared<RequestRunner>(Context, Answers, Attempts);
   Front = std::make_shared<FrontEnd>(Context, Answers, Runner);
   Services.add<AdminRoutes>(service_name::Admin, Front);
+  Quarantine->addRoutes(*Front);
+  Quarantine->onConviction([Weak = std::weak_ptr(Runner)] {
+    if (const auto Requests = Weak.lock())
+      Requests->refuseConvicted();
+  });
   std::make_shared<SettingsAdmin>(Context, Tree)->addRoutes(*Front);
   if (Cells != nullptr)
     Cells->addRoutes(*Front);
--- a/src/router/request_runner.cpp
+++ b/src/router/request_runner.cpp
@@ -1,6 +1,7 @@
 #include <mallowglade/detail/router/request_run.hpp>
 
 #include <mallowglade/detail/router/attempt_meter.hpp>
+#include <mallowglade/detail/router/quarantine_service.hpp>
 
 namespace mallowglade {
 
@@ -42,6 +43,13 @@
   return ErrorId::ConnectionLost;
 }
 
+Fingerprint fingerprintOf(const RouterRequest &Request) {
+  const std::string Identity = Request.Workspace.Value + '\0' +
+                               Request.Payload.Target + '\0' +
+                               Request.Payload.Body;
+  return Fingerprint(stableHash(Identity));
+}
+
 } // namespace
 
 RequestRunner::RequestRunner(RouterContext Context, AnswerStore &Answers,
@@ -55,6 +63,7 @@
   Current->History.Idempotent = Request.Idempotent;
   Current->History.MaxAttempts = MaxAttempts;
   Current->Request = std::move(Request);
+  Current->Print = fingerprintOf(Current->Request);
   Current->Target = std::move(Target);
   Context.Control.post([Self = shared_from_this(), Current] {
     Self->Runs.insert(Current);
@@ -97,16 +106,15 @@
 }
 
 void RequestRunner::enqueue(const RunPointer &Current) {
+  if (refuseIfConvicted(Current))
+    return;
   const RouterRequest &Request = Current->Request;
   DispatchRequest Wanted;
   Wanted.Id = Request.Id;
   Wanted.Workspace = Request.Workspace;
   Wanted.Pool = Request.Pool.Id;
   Wanted.Hint = estimateCost(Request.Pool, Request.Payload.Body);
-  const std::string Identity = Request.Workspace.Value + '\0' +
-                               Request.Payload.Target + '\0' +
-                               Request.Payload.Body;
-  Wanted.Print = Fingerprint(stableHash(Identity));
+  Wanted.Print = Current->Print;
   Wanted.PrefixHash =
       stableHash(std::string_view(Request.Payload.Body).substr(0, PrefixBytes));
   Wanted.Avoid = Current->Avoid;
@@ -128,6 +136,36 @@
   });
 }
 
+bool RequestRunner::refuseIfConvicted(const RunPointer &Current) {
+  const auto Quarantine =
+      Context.Services.find<QuarantineService>(service_name::Quarantine);
+  const auto Left = Quarantine == nullptr
+                        ? std::nullopt
+                        : Quarantine->convictedFor(Current->Print);
+  if (!Left)
+    return false;
+  const Error Reason{ErrorId::Quarantined,
+                     "the request crashed upstreams; fingerprint " +
+                         toHex(Current->Print.Value),
+                     ""};
+  const Verdict Outcome =
+      Current->History.MayHaveRun ? Verdict::Unknown : Verdict::NotRun;
+  finish(Current, Problem{Reason, Outcome, Current->Request.Id, *Left});
+  return true;
+}
+
+void RequestRunner::refuseConvicted() {
+  const auto Dispatch =
+      Context.Services.find<Dispatcher>(service_name::Dispatcher);
+  const auto Quarantine =
+      Context.Services.find<QuarantineService>(service_name::Quarantine);
+  const std::set<RunPointer> Open = Runs;
+  for (const RunPointer &Current : Open)
+    if (Current->Queued && Quarantine->convictedFor(Current->Print) &&
+        Dispatch->cancel(Current->Request.Id))
+      refuseIfConvicted(Current);
+}
+
 void RequestRunner::dispatch(const RunPointer &Current,
                              const Assignment &Where) {
   if (Current->Ended) {
