Detect failed routers by gossip and register in the key-value service

Cause: every router believed that it was alone, so cells and partitions had one owner per router.

Change: FailureDetector is a state machine for probes, indirect probes, suspicion with refutation, piggybacked updates, leaving, and probes of dead members. A router without any answer does not accuse others. Digests of the live members on probes reveal lost updates, which a full exchange repairs.

--- a/include/mallowglade/detail/router/context.hpp
+++ b/include/mallowglade/detail/router/context.hpp
@@ -20,6 +20,7 @@
 inline constexpr const char *Members = "members";
 inline constexpr const char *Peers = "peers";
 inline constexpr const char *Admin = "admin";
+inline constexpr const char *VersionGossip = "version_gossip";
 } // namespace service_name
 
 /// @brief What every service of a router may use.
--- /dev/null
+++ b/src/membership/member_record.cpp
@@ -0,0 +1,24 @@
+#include <mallowglade/membership.hpp>
+
+#include <tuple>
+
+namespace mallowglade {
+
+std::string_view toString(MemberState State) {
+  switch (State) {
+  case MemberState::Alive:
+    return "alive";
+  case MemberState::Suspect:
+    return "suspect";
+  case MemberState::Dead:
+    return "dead";
+  }
+  return "dead";
+}
+
+bool supersedes(const MemberRecord &News, const MemberRecord &Known) {
+  return std::tie(News.Start, News.Counter, News.State) >
+         std::tie(Known.Start, Known.Counter, Known.State);
+}
+
+} // namespace mallowglade
--- a/src/router/app.cpp
+++ b/src/router/app.cpp
@@ -2,6 +2,7 @@
 
 #include <mallowglade/detail/router/answer.hpp>
 #include <mallowglade/detail/router/front_end.hpp>
+#include <mallowglade/detail/router/gossip_member_service.hpp>
 #include <mallowglade/detail/router/local_dispatcher.hpp>
 #include <mallowglade/detail/router/peer_part.hpp>
 #include <mallowglade/detail/router/request_runner.hpp>
@@ -94,13 +95,10 @@
   Services.add<SettingsService>(
       service_name::Settings,
       std::make_shared<StaticSettings>(Settings.SeedTree));
-  Member Self;
-  Self.Id = RouterId(Settings.PeerAdvertise);
-  Self.Start = Context.Start;
-  Self.Zone = Settings.Zone;
-  Self.CallerAddress = Settings.Advertise;
-  Services.add<MemberService>(service_name::Members,
-                              std::make_shared<SingleMember>(Self));
+  const auto Members = std::make_shared<GossipMemberService>(Context);
+  Services.add<MemberService>(service_name::Members, Members);
+  Services.add<VersionGossip>(service_name::VersionGossip, Members);
+  Parts.push_back(Members);
   Services.add<ClaimService>(service_name::Claims,
                              std::make_shared<NoClaims>());
   auto Upstreams = std::make_shared<UpstreamService>(Context);
@@ -113,11 +111,12 @@
   Runner = std::make_shared<RequestRunner>(Context, Answers, Attempts);
   Front = std::make_shared<FrontEnd>(Context, Answers, Runner);
   Services.add<AdminRoutes>(service_name::Admin, Front);
+  Members->addRoutes(*Front);
 }
 
 Result<Success> RouterApp::start() {
   Impl->buildServices();
-  const Result<Success> Listening = Impl->Peers->listen();
+  Result<Success> Listening = Impl->Peers->listen();
   if (!isOk(Listening))
     return Listening;
   Impl->Control.start();
