--- a/include/mallowglade/detail/router/gossip_member_service.hpp
+++ b/include/mallowglade/detail/router/gossip_member_service.hpp
@@ -3,7 +3,7 @@
 #include <mallowglade/detail/router/admin_routes.hpp>
 #include <mallowglade/detail/router/member_service.hpp>
 #include <mallowglade/detail/router/router_registration.hpp>
-#include <mallowglade/detail/router/version_gossip.hpp>
+#include <mallowglade/detail/router/settings_versions.hpp>
 #include <mallowglade/membership.hpp>
 
 #include <map>
@@ -13,7 +13,6 @@
 /// @brief Membership of the fleet: drives the failure detector.
 class GossipMemberService final
     : public MemberService,
-      public VersionGossip,
       public RouterPart,
       public std::enable_shared_from_this<GossipMemberService> {
 public:
@@ -30,9 +29,6 @@
   void announceLeaving() override;
   void onChange(std::function<void()> Changed) override;
 
-  void provideVersion(std::function<SettingsVersion()> Provider) override;
-  void onPeerVersion(Listener Received) override;
-
   void start() override;
 
 private:
@@ -52,8 +48,7 @@
   RegisteredRouters Known;
   std::shared_ptr<RouterRegistration> Registration;
   std::shared_ptr<PeerNetwork> Peers;
-  std::function<SettingsVersion()> Version;
-  std::vector<Listener> VersionListeners;
+  std::shared_ptr<SettingsVersions> Versions;
   std::vector<std::function<void()>> Listeners;
   std::map<RouterId, SettingsVersion> PeerVersions;
   std::vector<Member> Live;
--- a/src/router/app.cpp
+++ b/src/router/app.cpp
@@ -1,12 +1,15 @@
 #include <mallowglade/router.hpp>
 
 #include <mallowglade/detail/router/answer.hpp>
+#include <mallowglade/detail/router/cell_dispatcher.hpp>
 #include <mallowglade/detail/router/front_end.hpp>
 #include <mallowglade/detail/router/gossip_member_service.hpp>
+#include <mallowglade/detail/router/keyed_claim_service.hpp>
 #include <mallowglade/detail/router/local_dispatcher.hpp>
 #include <mallowglade/detail/router/peer_part.hpp>
 #include <mallowglade/detail/router/request_runner.hpp>
-#include <mallowglade/detail/router/static_services.hpp>
+#include <mallowglade/detail/router/settings_admin.hpp>
+#include <mallowglade/detail/router/tree_settings.hpp>
 #include <mallowglade/detail/router/upstream_service.hpp>
 
 #include <condition_variable>
@@ -50,6 +53,13 @@
                 Blocking, Store, Instances, Services, startTime(Time)} {}
 
   void buildServices();
+  void buildPeers();
+  void buildSettings();
+  void buildMembers();
+  void buildClaims();
+  void buildUpstreams();
+  void buildDispatcher();
+  void buildFrontEnd();
   void housekeeping();
   void finishDrain();
   void endNow();
@@ -68,6 +78,9 @@
   RouterContext Context;
   std::vector<std::shared_ptr<RouterPart>> Parts;
   std::shared_ptr<PeerPart> Peers;
+  std::shared_ptr<GossipMemberService> Members;
+  std::shared_ptr<TreeSettingsService> Tree;
+  std::shared_ptr<CellDispatcher> Cells;
   std::shared_ptr<LocalDispatcher> Local;
   std::shared_ptr<RequestRunner> Runner;
   std::shared_ptr<FrontEnd> Front;
@@ -84,34 +97,74 @@
 RouterApp::~RouterApp() {
   Impl->Front->stop();
   Impl->Control.stop();
+  for (const auto &Part : Impl->Parts)
+    Part->stop();
   Impl->Blocking.stop();
   Impl->Attempts.stop();
 }
 
 void RouterApp::State::buildServices() {
+  buildPeers();
+  buildSettings();
+  buildMembers();
+  buildClaims();
+  buildUpstreams();
+  buildDispatcher();
+  buildFrontEnd();
+}
+
+void RouterApp::State::buildPeers() {
   Peers = std::make_shared<PeerPart>(Context);
   Services.add<PeerNetwork>(service_name::Peers, Peers->network());
   Parts.push_back(Peers);
-  Services.add<SettingsService>(
-      service_name::Settings,
-      std::make_shared<StaticSettings>(Settings.SeedTree));
-  const auto Members = std::make_shared<GossipMemberService>(Context);
+}
+
+void RouterApp::State::buildSettings() {
+  Tree = std::make_shared<TreeSettingsService>(Context);
+  Services.add<SettingsService>(service_name::Settings, Tree);
+  Services.add<SettingsVersions>(service_name::SettingsVersions, Tree);
+  Parts.push_back(Tree);
+}
+
+void RouterApp::State::buildMembers() {
+  Members = std::make_shared<GossipMemberService>(Context);
   Services.add<MemberService>(service_name::Members, Members);
-  Services.add<VersionGossip>(service_name::VersionGossip, Members);
   Parts.push_back(Members);
-  Services.add<ClaimService>(service_name::Claims,
-                             std::make_shared<NoClaims>());
+}
+
+void RouterApp::State::buildClaims() {
+  auto Claims = std::make_shared<KeyedClaimService>(Context);
+  Services.add<ClaimService>(service_name::Claims, Claims);
+  Parts.push_back(Claims);
+}
+
+void RouterApp::State::buildUpstreams() {
   auto Upstreams = std::make_shared<UpstreamService>(Context);
   Services.add<UpstreamDirectory>(service_name::Upstreams, Upstreams);
   Parts.push_back(Upstreams);
+}
+
+void RouterApp::State::buildDispatcher() {
+  if (Settings.Policy == "cell") {
+    Cells = std::make_shared<CellDispatcher>(Context);
+    Services.add<Dispatcher>(service_name::Dispatcher, Cells);
+    Parts.push_back(Cells);
+    return;
+  }
   Local = std::make_shared<LocalDispatcher>(Context, Settings.Policy == "random"
                                                          ? LocalPolicy::Random
                                                          : LocalPolicy::Split);
   Services.add<Dispatcher>(service_name::Dispatcher, Local);
+}
+
+void RouterApp::State::buildFrontEnd() {
   Runner = std::make_shared<RequestRunner>(Context, Answers, Attempts);
   Front = std::make_shared<FrontEnd>(Context, Answers, Runner);
   Services.add<AdminRoutes>(service_name::Admin, Front);
   Members->addRoutes(*Front);
+  std::make_shared<SettingsAdmin>(Context, Tree)->addRoutes(*Front);
+  if (Cells != nullptr)
+    Cells->addRoutes(*Front);
 }
 
 Result<Success> RouterApp::start() {
@@ -135,7 +188,8 @@
 }
 
 void RouterApp::State::housekeeping() {
-  Local->tick();
+  if (Local != nullptr)
+    Local->tick();
   Answers.expire(Time.now());
   std::vector<std::string> Addresses;
   const auto Members =
--- a/src/router/gossip_member_service.cpp
+++ b/src/router/gossip_member_service.cpp
@@ -88,17 +88,10 @@
   Listeners.push_back(std::move(Changed));
 }
 
-void GossipMemberService::provideVersion(
-    std::function<SettingsVersion()> Provider) {
-  Version = std::move(Provider);
-}
-
-void GossipMemberService::onPeerVersion(Listener Received) {
-  VersionListeners.push_back(std::move(Received));
-}
-
 void GossipMemberService::start() {
   Peers = Context.Services.find<PeerNetwork>(service_name::Peers);
+  Versions =
+      Context.Services.find<SettingsVersions>(service_name::SettingsVersions);
   for (const char *Type :
        {ProbeType, ProbeRequestType, ProbeAckType, SyncType, SyncReplyType})
     subscribe(Type);
@@ -144,8 +137,8 @@
   }
   Detector.receive(Context.Time.now(), From.Router, valueOf(Message));
   PeerVersions[From.Router] = valueOf(Message).Version;
-  for (const Listener &Received : VersionListeners)
-    Received(From.Router, valueOf(Message).Version);
+  if (Versions != nullptr)
+    Versions->noticeVersion(valueOf(Message).Version, From.Router);
   afterEvent();
 }
 
@@ -170,8 +163,8 @@
 }
 
 void GossipMemberService::sendMessages() {
-  if (Version)
-    Detector.setVersion(Version());
+  if (Versions != nullptr)
+    Detector.setVersion(Versions->version());
   for (const OutgoingMemberMessage &Sent : Detector.takeMessages())
     Peers->send(Sent.To, typeOf(Sent.Message.Kind),
                 encodeMemberMessage(Sent.Message));
@@ -193,8 +186,13 @@
   std::map<MemberState, double> Counts{{MemberState::Alive, 0},
                                        {MemberState::Suspect, 0},
                                        {MemberState::Dead, 0}};
-  for (const MemberRecord &Record : Detector.all())
+  std::set<RouterId> Ids;
+  for (const MemberRecord &Record : Detector.all()) {
     ++Counts[Record.State];
+    Ids.insert(Record.Id);
+  }
+  std::erase_if(PeerVersions,
+                [&Ids](const auto &Item) { return !Ids.contains(Item.first); });
   for (const auto &[State, Count] : Counts)
     Context.Measures.set("mallowglade_members",
                          {{"state", std::string(toString(State))}}, Count);
