Test settings changes and propagation with random faults

Cause: races, lost and late replies, stale reads and restarts are where a change could be lost, applied twice or reverted, and single examples do not reach their combinations.

A fresh router reads all packs with one call.

--- a/src/cli/change_client.cpp
+++ b/src/cli/change_client.cpp
@@ -26,6 +26,10 @@
          Body.value("outcome", "") == "unknown";
 }
 
+bool unavailable(const Result<AdminAnswer> &Reply) {
+  return !isOk(Reply) || valueOf(Reply).Status >= 500;
+}
+
 void printConflict(const json &Body) {
   fmt::print(stderr,
              "  The settings are at version {} now. Your change would still "
@@ -59,7 +63,10 @@
   auto Reply = adminPost(Options, "/admin/settings", Command);
   for (int Try = 1; Try < MaxTries && outcomeUnknown(Reply); ++Try) {
     std::this_thread::sleep_for(PauseBetweenTries);
-    Reply = adminPost(Options, "/admin/settings", Command);
+    auto Again = adminPost(Options, "/admin/settings", Command);
+    // A repeat that could not reach the service says nothing about the first.
+    if (!unavailable(Again))
+      Reply = std::move(Again);
   }
   ExitCode Code = ExitCode::Ok;
   if (failed(Reply, Code)) {
--- a/src/router/change_runner.cpp
+++ b/src/router/change_runner.cpp
@@ -4,8 +4,8 @@
 
 namespace {
 
-/// Above this number one read of all packs is cheaper than single reads.
-constexpr std::size_t MaxSingleReads = 4;
+/// Several packs are read with one call, as the service counts calls.
+constexpr std::size_t MaxSingleReads = 1;
 
 Result<Success> readAuditHead(KeyValueStore &Store, ChangeState &State) {
   const auto Entry = Store.read(settings_layout::AuditHeadKey);
--- /dev/null
+++ b/tests/support/settings_fleet.hpp
@@ -0,0 +1,295 @@
+#pragma once
+
+#include <mallowglade/settings.hpp>
+
+#include <deque>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace mallowglade::testing {
+
+/// @brief Routers with their replicas, a key-value service and a network, all
+///   in memory and in simulated time.
+class SettingsFleet {
+public:
+  /// @param Routers number of routers
+  /// @param Zones zones the routers are spread over
+  /// @param Seed seed of all random choices
+  SettingsFleet(std::size_t Routers, std::size_t Zones, std::uint64_t Seed)
+      : Random(Seed), Nodes(Routers) {
+    Versions.push_back({});
+    for (std::size_t I = 0; I < Routers; ++I) {
+      Nodes[I].Self = {idOf(I), ZoneId("zone-" + std::to_string(I % Zones))};
+      restart(I);
+    }
+  }
+
+  /// What one router counts and shows.
+  struct Node {
+    ReplicaMember Self;
+    std::unique_ptr<SettingsReplica> Replica;
+    SettingsVersion Highest;
+    bool Reverted = false;
+    bool Partitioned = false;
+    bool Down = false;
+    bool HasMembers = false;
+    std::optional<TimePoint> ReadyAt;
+    Revision WatchAfter;
+    bool Watching = false;
+    TimePoint WatchEnds;
+  };
+
+  /// Faults that are drawn for each call or message, in percent.
+  struct Faults {
+    unsigned LostMessage = 0;
+    unsigned LateMessage = 0;
+    unsigned StaleRead = 0;
+    unsigned LostRead = 0;
+  };
+
+  static RouterId idOf(std::size_t Index) {
+    return RouterId("10.0.0." + std::to_string(Index + 1) + ":81");
+  }
+
+  /// @brief Makes a new version in the service, as a change would.
+  void commit() {
+    SettingsSnapshot Next = Versions.back();
+    Next.Head.Version += SettingsVersion(1);
+    const std::string Team = "team-" + std::to_string(Random.below(5));
+    const PackNumber Pack = packOf(Team);
+    Next.Head.Packs[Pack] = Next.Head.Version;
+    Next.Packs[Pack].Version = Next.Head.Version;
+    Next.Packs[Pack].Branches[Team] = {Next.Head.Version,
+                                       nlohmann::json::object()};
+    Versions.push_back(std::move(Next));
+  }
+
+  /// @brief Replaces a router's process; nothing of its state is left.
+  void restart(std::size_t Index) {
+    Node &Old = Nodes[Index];
+    Node Fresh;
+    Fresh.Self = Old.Self;
+    Fresh.Partitioned = Old.Partitioned;
+    Fresh.Replica = std::make_unique<SettingsReplica>(
+        Fresh.Self, nlohmann::json::object(), Random);
+    Fresh.Replica->start(Now);
+    Old = std::move(Fresh);
+  }
+
+  /// @brief Lets time pass in steps of 100 ms.
+  void run(Milliseconds Span) {
+    for (Milliseconds Passed{0}; Passed < Span; Passed += Step) {
+      Now += Step;
+      deliver();
+      for (std::size_t I = 0; I < Nodes.size(); ++I)
+        if (!Nodes[I].Down)
+          runNode(I);
+    }
+  }
+
+  SettingsVersion latest() const { return Versions.back().Head.Version; }
+  bool reverted() const {
+    for (const Node &One : Nodes)
+      if (One.Reverted)
+        return true;
+    return false;
+  }
+  bool converged() const {
+    for (const Node &One : Nodes)
+      if (!One.Down &&
+          (One.Replica->version() != latest() || !One.Replica->ready()))
+        return false;
+    return true;
+  }
+
+  Faults Current;
+  bool ServiceDown = false;
+  bool Gossip = true;
+  std::uint64_t ServiceCalls = 0;
+  std::uint64_t ServiceReads = 0;
+  TimePoint Now{std::chrono::hours(1)};
+  SeededRandom Random;
+  std::vector<Node> Nodes;
+  std::vector<SettingsSnapshot> Versions;
+
+private:
+  struct Message {
+    std::size_t From = 0;
+    std::size_t To = 0;
+    TimePoint Arrival;
+    std::variant<SettingsRequest, SettingsReply, SettingsVersion> Body;
+  };
+
+  static constexpr Milliseconds Step{100};
+  static constexpr Milliseconds WatchLimit{5'000};
+
+  bool happens(unsigned Percent) { return Random.below(100) < Percent; }
+
+  std::size_t indexOf(const RouterId &Id) const {
+    for (std::size_t I = 0; I < Nodes.size(); ++I)
+      if (Nodes[I].Self.Id == Id)
+        return I;
+    return Nodes.size();
+  }
+
+  std::vector<ReplicaMember> membersFor(std::size_t Index) const {
+    std::vector<ReplicaMember> Members;
+    for (std::size_t I = 0; I < Nodes.size(); ++I)
+      if (I == Index || (!Nodes[I].Down && connected(I, Index)))
+        Members.push_back(Nodes[I].Self);
+    return Members;
+  }
+
+  bool connected(std::size_t From, std::size_t To) const {
+    return Nodes[From].Partitioned == Nodes[To].Partitioned;
+  }
+
+  void runNode(std::size_t Index) {
+    Node &One = Nodes[Index];
+    const bool FullSecond = Now.time_since_epoch() % std::chrono::seconds(1) ==
+                            TimePoint::duration(0);
+    if (FullSecond || !One.HasMembers)
+      One.Replica->setMembers(membersFor(Index), Nodes.size());
+    One.HasMembers = true;
+    perform(Index, One.Replica->tick(Now));
+    runWatch(Index);
+    if (Gossip && FullSecond) {
+      const std::size_t Peer = Random.below(Nodes.size());
+      send(Index, Peer, One.Replica->version());
+      send(Peer, Index, Nodes[Peer].Replica->version());
+    }
+  }
+
+  void send(std::size_t From, std::size_t To, decltype(Message::Body) Body) {
+    if (To >= Nodes.size() || From == To || !connected(From, To))
+      return;
+    if (happens(Current.LostMessage))
+      return;
+    TimePoint Arrival = Now + Step;
+    if (happens(Current.LateMessage))
+      Arrival += std::chrono::seconds(1 + Random.below(20));
+    Messages.push_back({From, To, Arrival, std::move(Body)});
+  }
+
+  void deliver() {
+    std::deque<Message> Due;
+    std::deque<Message> Later;
+    for (Message &Next : Messages)
+      (Next.Arrival <= Now ? Due : Later).push_back(std::move(Next));
+    Messages = std::move(Later);
+    for (const Message &Next : Due)
+      if (!Nodes[Next.To].Down && connected(Next.From, Next.To))
+        receive(Next);
+  }
+
+  void receive(const Message &Next) {
+    SettingsReplica &Replica = *Nodes[Next.To].Replica;
+    const RouterId &From = Nodes[Next.From].Self.Id;
+    if (const auto *Request = std::get_if<SettingsRequest>(&Next.Body))
+      send(Next.To, Next.From, Replica.answer(*Request));
+    else if (const auto *Reply = std::get_if<SettingsReply>(&Next.Body))
+      perform(Next.To, Replica.onPeerReply(From, *Reply, Now));
+    else
+      perform(Next.To, Replica.noticeVersion(
+                           std::get<SettingsVersion>(Next.Body), From, Now));
+  }
+
+  /// State that a read sees: the last one, or an earlier one if stale.
+  const SettingsSnapshot &readState() {
+    if (happens(Current.StaleRead))
+      return Versions[Random.below(Versions.size())];
+    return Versions.back();
+  }
+
+  static std::optional<KeyValue> headOf(const SettingsSnapshot &State) {
+    if (State.Head.Version.Value == 0)
+      return std::nullopt;
+    return KeyValue{
+        settings_layout::HeadKey, encodeHead(State.Head),
+        Revision(static_cast<std::int64_t>(State.Head.Version.Value))};
+  }
+
+  bool serviceFails(std::size_t Index) {
+    ++ServiceCalls;
+    return ServiceDown || Nodes[Index].Partitioned || happens(Current.LostRead);
+  }
+
+  void perform(std::size_t Index, const ReplicaActions &Actions) {
+    for (const ReplicaAction &Action : Actions)
+      std::visit([&](const auto &One) { performOne(Index, One); }, Action);
+    observe(Index);
+  }
+
+  void performOne(std::size_t Index, const ReadHead &) {
+    ++ServiceReads;
+    Result<std::optional<KeyValue>> Reply = headOf(readState());
+    if (serviceFails(Index))
+      Reply = Error{ErrorId::Timeout, "", ""};
+    perform(Index, Nodes[Index].Replica->onHead(Reply, Now));
+  }
+
+  void performOne(std::size_t Index, const ReadPacks &Action) {
+    const SettingsSnapshot &State = readState();
+    std::vector<KeyValue> Packs;
+    for (const PackNumber Pack : Action.Packs)
+      if (State.Packs.contains(Pack))
+        Packs.push_back({packKey(Pack), encodePack(State.Packs.at(Pack)), {}});
+    ++ServiceReads;
+    Result<std::vector<KeyValue>> Reply = std::move(Packs);
+    if (serviceFails(Index))
+      Reply = Error{ErrorId::Timeout, "", ""};
+    perform(Index, Nodes[Index].Replica->onPacks(Reply, Now));
+  }
+
+  void performOne(std::size_t Index, const WatchHead &Action) {
+    ++ServiceCalls;
+    Nodes[Index].Watching = true;
+    Nodes[Index].WatchAfter = Action.After;
+    Nodes[Index].WatchEnds = Now + WatchLimit;
+  }
+
+  void runWatch(std::size_t Index) {
+    Node &One = Nodes[Index];
+    if (!One.Watching)
+      return;
+    Result<std::optional<KeyValue>> Reply = std::optional<KeyValue>();
+    const bool Broken = ServiceDown || One.Partitioned;
+    const auto Head = headOf(Versions.back());
+    const bool Changed = Head && Head->Modified > One.WatchAfter;
+    if (Broken)
+      Reply = Error{ErrorId::Unavailable, "", ""};
+    else if (Changed)
+      Reply = Head;
+    if (!Broken && !Changed && Now < One.WatchEnds)
+      return;
+    One.Watching = false;
+    perform(Index, One.Replica->onWatch(Reply, Now));
+  }
+
+  void performOne(std::size_t Index, const AskPeer &Action) {
+    send(Index, indexOf(Action.Peer), Action.Request);
+  }
+
+  void performOne(std::size_t Index, const NotifyPeers &Action) {
+    for (const RouterId &Peer : Action.Peers)
+      send(Index, indexOf(Peer), Action.Version);
+  }
+
+  void performOne(std::size_t, const ApplySettings &) {}
+  void performOne(std::size_t, const ReportFault &) {}
+
+  void observe(std::size_t Index) {
+    Node &One = Nodes[Index];
+    const SettingsVersion Version = One.Replica->version();
+    One.Reverted = One.Reverted || Version < One.Highest;
+    One.Highest = std::max(One.Highest, Version);
+    if (One.Replica->ready() && !One.ReadyAt)
+      One.ReadyAt = Now;
+  }
+
+  std::deque<Message> Messages;
+};
+
+} // namespace mallowglade::testing
--- /dev/null
+++ b/tests/unit-settings-replica.cpp
@@ -0,0 +1,209 @@
+#include "support/settings_fleet.hpp"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <rapidcheck.h>
+
+using namespace mallowglade;
+using testing::SettingsFleet;
+
+namespace {
+
+constexpr Milliseconds Minute{60'000};
+
+/// One random event in the life of a fleet.
+void disturb(SettingsFleet &Fleet) {
+  const std::size_t Index = Fleet.Random.below(Fleet.Nodes.size());
+  switch (Fleet.Random.below(7)) {
+  case 0:
+  case 1:
+    Fleet.commit();
+    break;
+  case 2:
+    Fleet.restart(Index);
+    break;
+  case 3:
+    Fleet.Nodes[Index].Partitioned = !Fleet.Nodes[Index].Partitioned;
+    break;
+  case 4:
+    Fleet.ServiceDown = !Fleet.ServiceDown;
+    break;
+  case 5:
+    Fleet.Nodes[Index].Down = !Fleet.Nodes[Index].Down;
+    break;
+  default:
+    Fleet.Current = {30, 30, 30, 30};
+    break;
+  }
+  Fleet.run(Milliseconds(100 * (1 + Fleet.Random.below(50))));
+}
+
+void repair(SettingsFleet &Fleet) {
+  Fleet.ServiceDown = false;
+  Fleet.Current = {};
+  for (SettingsFleet::Node &One : Fleet.Nodes) {
+    One.Partitioned = false;
+    One.Down = false;
+  }
+}
+
+std::size_t currentCount(const SettingsFleet &Fleet) {
+  std::size_t Count = 0;
+  for (const SettingsFleet::Node &One : Fleet.Nodes)
+    Count += One.Replica->version() == Fleet.latest() ? 1 : 0;
+  return Count;
+}
+
+std::size_t readyCount(const SettingsFleet &Fleet) {
+  std::size_t Count = 0;
+  for (const SettingsFleet::Node &One : Fleet.Nodes)
+    Count += One.Replica->ready() ? 1 : 0;
+  return Count;
+}
+
+} // namespace
+
+class SettingsReplicaTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(SettingsReplicaTest);
+  CPPUNIT_TEST(versionsNeverGoBackAndConverge);
+  CPPUNIT_TEST(changeReachesWholeFleetInFiveSeconds);
+  CPPUNIT_TEST(changeSpreadsWithoutGossipWithinPoll);
+  CPPUNIT_TEST(startOfWholeFleetStaysWithinReadBudget);
+  CPPUNIT_TEST(restFewCalls);
+  CPPUNIT_TEST(freshRouterTakesQuorumDuringOutage);
+  CPPUNIT_TEST(freshRouterAloneIsNotReadyDuringOutage);
+  CPPUNIT_TEST(freshRouterIsNotReadyBelowAVersionItHeardOf);
+  CPPUNIT_TEST(stalePeerIsIgnored);
+  CPPUNIT_TEST(twoWatchersPerZone);
+  CPPUNIT_TEST_SUITE_END();
+
+public:
+  // Guards against a revert or a router left behind after races, lost and late
+  // messages, stale reads, restarts, partitions and outages.
+  void versionsNeverGoBackAndConverge() {
+    const bool Holds = rc::check([](std::uint64_t Seed) {
+      SettingsFleet Fleet(6, 2, Seed);
+      for (int I = 0; I < 20; ++I) {
+        disturb(Fleet);
+        RC_ASSERT(!Fleet.reverted());
+      }
+      repair(Fleet);
+      Fleet.run(Minute * 2);
+      RC_ASSERT(!Fleet.reverted());
+      RC_ASSERT(Fleet.converged());
+    });
+    CPPUNIT_ASSERT(Holds);
+  }
+
+  // Guards against a propagation that takes longer than the 5 s of I8.
+  void changeReachesWholeFleetInFiveSeconds() {
+    SettingsFleet Fleet(390, 8, 1);
+    Fleet.commit();
+    Fleet.run(Milliseconds(5'000));
+    CPPUNIT_ASSERT(Fleet.converged());
+    for (int I = 0; I < 4; ++I) {
+      Fleet.commit();
+      Fleet.run(Milliseconds(5'000));
+      CPPUNIT_ASSERT_EQUAL(Fleet.Nodes.size(), currentCount(Fleet));
+    }
+  }
+
+  void changeSpreadsWithoutGossipWithinPoll() {
+    SettingsFleet Fleet(16, 2, 1);
+    Fleet.Gossip = false;
+    Fleet.run(Milliseconds(5'000));
+    Fleet.commit();
+    Fleet.run(Milliseconds(36'000));
+    CPPUNIT_ASSERT(Fleet.converged());
+  }
+
+  // Guards against a start of all routers that overloads the service.
+  void startOfWholeFleetStaysWithinReadBudget() {
+    SettingsFleet Fleet(390, 8, 1);
+    for (int I = 0; I < 20; ++I)
+      Fleet.commit();
+    Fleet.run(Milliseconds(1'200));
+    CPPUNIT_ASSERT(Fleet.converged());
+    CPPUNIT_ASSERT(Fleet.ServiceReads <= 2 * Fleet.Nodes.size());
+  }
+
+  // Guards against a load on the service that grows with the fleet's polls.
+  void restFewCalls() {
+    SettingsFleet Fleet(390, 8, 1);
+    Fleet.commit();
+    Fleet.run(Minute);
+    const std::uint64_t Before = Fleet.ServiceCalls;
+    Fleet.run(Minute);
+    const std::uint64_t PerSecond = (Fleet.ServiceCalls - Before) / 60;
+    CPPUNIT_ASSERT(PerSecond <= 20);
+  }
+
+  // Guards against a fleet that cannot be repaired while the service is down.
+  void freshRouterTakesQuorumDuringOutage() {
+    SettingsFleet Fleet(5, 1, 1);
+    Fleet.commit();
+    Fleet.run(Milliseconds(5'000));
+    Fleet.ServiceDown = true;
+    Fleet.restart(0);
+    Fleet.run(Milliseconds(5'000));
+    CPPUNIT_ASSERT(Fleet.Nodes[0].Replica->ready());
+    CPPUNIT_ASSERT(Fleet.Nodes[0].Replica->version() == Fleet.latest());
+  }
+
+  // Guards against a router that serves with its seed tree although the fleet
+  // has settings that it cannot see.
+  void freshRouterAloneIsNotReadyDuringOutage() {
+    SettingsFleet Fleet(5, 1, 1);
+    Fleet.commit();
+    Fleet.run(Milliseconds(5'000));
+    Fleet.Nodes[0].Partitioned = true;
+    Fleet.restart(0);
+    Fleet.run(Minute);
+    CPPUNIT_ASSERT(!Fleet.Nodes[0].Replica->ready());
+    CPPUNIT_ASSERT_EQUAL(std::size_t{4}, readyCount(Fleet));
+  }
+
+  // Guards against a restart without state that falls back through a stale
+  // read of the service.
+  void freshRouterIsNotReadyBelowAVersionItHeardOf() {
+    SettingsFleet Fleet(1, 1, 1);
+    SettingsReplica &Replica = *Fleet.Nodes[0].Replica;
+    const RouterId Peer("10.0.0.9:81");
+    Replica.setMembers({Fleet.Nodes[0].Self, {Peer, ZoneId("zone-0")}}, 2);
+    Replica.noticeVersion(SettingsVersion(2), Peer, Fleet.Now);
+    Fleet.commit();
+    const KeyValue Stale{settings_layout::HeadKey,
+                         encodeHead(Fleet.Versions[1].Head), Revision(1)};
+    Replica.onHead(std::optional<KeyValue>(Stale), Fleet.Now);
+    std::vector<KeyValue> Packs;
+    for (const auto &[Number, Pack] : Fleet.Versions[1].Packs)
+      Packs.push_back({packKey(Number), encodePack(Pack), {}});
+    Replica.onPacks(Packs, Fleet.Now);
+    CPPUNIT_ASSERT(Replica.version() == SettingsVersion(1));
+    CPPUNIT_ASSERT(!Replica.ready());
+  }
+
+  // Guards against a router that was away and brings its old settings back.
+  void stalePeerIsIgnored() {
+    SettingsFleet Fleet(3, 1, 1);
+    Fleet.commit();
+    Fleet.run(Milliseconds(5'000));
+    const SettingsReply Old = Fleet.Nodes[1].Replica->answer({});
+    Fleet.commit();
+    Fleet.run(Milliseconds(5'000));
+    Fleet.Nodes[0].Replica->onPeerReply(SettingsFleet::idOf(1), Old, Fleet.Now);
+    CPPUNIT_ASSERT(Fleet.Nodes[0].Replica->version() == SettingsVersion(2));
+  }
+
+  void twoWatchersPerZone() {
+    SettingsFleet Fleet(24, 3, 1);
+    Fleet.run(Milliseconds(2'000));
+    std::map<ZoneId, int> Watchers;
+    for (const SettingsFleet::Node &One : Fleet.Nodes)
+      Watchers[One.Self.Zone] += One.Replica->isWatcher() ? 1 : 0;
+    for (const auto &[Zone, Count] : Watchers)
+      CPPUNIT_ASSERT_EQUAL(2, Count);
+  }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(SettingsReplicaTest);
