Keep grants and shares correct under loss, restarts and partitions

Change: unconfirmed grants are repeated after 300 ms, completions are repeated in progress messages, and an owner that does not know a report session asks for a full report. A cell counts a router only after it has reported, and routers that join count together; while some routers are not heard the load report is read conservatively, and a minority with a new owner waits for two load reports.

Several cells per pool are not built yet.

--- a/include/mallowglade/detail/scheduling/cell.hpp
+++ b/include/mallowglade/detail/scheduling/cell.hpp
@@ -11,6 +11,7 @@
 #include <map>
 #include <set>
 #include <unordered_map>
+#include <unordered_set>
 #include <variant>
 #include <vector>
 
@@ -28,7 +29,7 @@
   Milliseconds GrantLife{2'000};
   /// Time for the news of a dispatch to arrive after that.
   Milliseconds AckMargin{1'000};
-  /// Longest wait for reports after a change of owner.
+  /// Longest wait for reports after a change of owner or of the routers.
   Milliseconds RebuildWait{500};
   /// Demand of a router that sent nothing for this time is dropped.
   Milliseconds Silence{3'000};
@@ -70,7 +71,9 @@
   /// @brief Takes the live routers; slots of the others are free at once.
   /// @param Heard live routers
   /// @param Registered number of registered routers, heard or not
-  void setMembers(const std::vector<CellMember> &Heard, std::size_t Registered);
+  /// @param Now current time
+  void setMembers(const std::vector<CellMember> &Heard, std::size_t Registered,
+                  TimePoint Now);
   /// @brief Takes the replicas and their reported load.
   void setReplicas(const std::vector<ReplicaInfo> &List);
   /// @brief Takes a router's demand.
@@ -93,6 +96,7 @@
   struct Issued {
     RouterId Router;
     Epoch Session;
+    std::uint64_t Basis = 0;
     Ticket Request;
     WorkspaceEntry *Workspace = nullptr;
     UpstreamId Upstream;
@@ -129,7 +133,11 @@
     std::uint64_t LatestSequence = 0;
     std::uint64_t FullSequence = 0;
     bool Reported = false;
+    /// Its part of the replicas' limits is in use.
+    bool Counted = false;
     bool AllotmentDue = false;
+    /// Sent a delta that cannot be used.
+    bool FullWanted = false;
     /// Sent nothing for so long that its demand was dropped.
     bool Silent = true;
     TimePoint LastHeard;
@@ -149,14 +157,20 @@
   void adopt(RouterEntry &From, const HeldGrant &Held,
              const DemandReport &Report, TimePoint Now);
   void removeRouter(RouterEntry &From);
+  void updatePart();
+  void addPart(TimePoint Now);
 
   // Accounts of grants (cell_accounts.cpp).
   void acknowledge(const RouterEntry &From, GrantId Id, std::uint64_t Sequence);
   void setCharge(Issued &Granted, double Charged, double Served);
   void finish(GrantId Id, double Served, GrantEnd End, TimePoint Now);
   void forget(GrantId Id);
+  void forgetLost(GrantId Id);
+  void detach(GrantId Id);
   void correctHint(const Issued &Granted, double Served);
+  void close(GrantId Id, TimePoint Now);
   void expireGrants(TimePoint Now);
+  void repeatGrants(TimePoint Now, std::vector<CellAction> &Actions);
   void dropSilent(TimePoint Now);
 
   // Decisions (cell.cpp).
@@ -166,7 +180,9 @@
   void issue(WorkspaceEntry &Entry, RouterEntry &To, const QueuedItem &Item,
              Replica &Where, TimePoint Now, std::vector<CellAction> &Actions);
   double estimate(const WorkspaceEntry &Entry, double Hint) const;
+  bool allReported(TimePoint Now) const;
   void finishRebuild();
+  void askForReports(std::vector<CellAction> &Actions);
   void allot(TimePoint Now, std::vector<CellAction> &Actions);
   void updateRates();
   Allotment allotmentFor(const RouterEntry &To,
@@ -176,7 +192,6 @@
 
   CellSettings Settings;
   std::uint32_t OwnerTag;
-  TimePoint Started;
   PlacementGuard *Guard;
   FairQueue Queue;
   ReplicaTable Replicas;
@@ -186,11 +201,18 @@
   /// Unconfirmed grants in the order of issue.
   std::deque<std::pair<TimePoint, GrantId>> Unconfirmed;
   /// Ended grants, so that a late message does not bring one back.
-  std::unordered_map<GrantId, TimePoint> Closed;
+  std::unordered_set<GrantId> Closed;
   std::deque<std::pair<TimePoint, GrantId>> ClosedOrder;
   std::uint32_t NextGrant = 1;
-  std::size_t RoutersHeard = 0;
+  std::size_t Registered = 1;
+  /// Time of the latest change of the live routers.
+  TimePoint MembersChanged;
+  /// Routers reported for the first time; the part may have to grow.
+  bool PartDue = false;
+  /// Workspaces with a concurrency limit.
+  std::vector<WorkspaceTerms> Limited;
   bool Rebuilt = false;
+  TimePoint LastRepeat;
   TimePoint LastAllotment;
   double LargestRequest = 1;
   Milliseconds FastestToken{};
--- a/include/mallowglade/detail/scheduling/messages.hpp
+++ b/include/mallowglade/detail/scheduling/messages.hpp
@@ -120,6 +120,8 @@
   /// Sequence of the latest report sent before.
   std::uint64_t Sequence = 0;
   std::vector<GrantProgress> Grants;
+  /// Grants that ended just before, in case their completion was lost.
+  std::vector<Completion> Ended;
 };
 
 /// @brief One workspace's part on one router.
@@ -134,6 +136,8 @@
 /// @brief Rates of a router; renewed each second.
 struct Allotment {
   CellId Cell;
+  /// Session that the rates are for; 0 asks for a full report, because the
+  /// owner does not know the session of a delta.
   Epoch Session;
   std::vector<WorkspaceAllotment> Workspaces;
 };
--- a/include/mallowglade/detail/scheduling/replica_table.hpp
+++ b/include/mallowglade/detail/scheduling/replica_table.hpp
@@ -30,6 +30,8 @@
   /// @brief Applies the partition rule to a limit.
   /// @return k/n of the limit; rounded up with a majority, else down
   std::uint32_t of(std::uint32_t Limit) const;
+  /// @return true if more than half of the routers are heard
+  bool majority() const { return 2 * Heard > Registered; }
 };
 
 /// @brief A replica and the slots of it that are in use.
@@ -40,16 +42,27 @@
   AdaptiveLimit Limit;
   /// Slots granted by this cell and not yet free.
   std::uint32_t Own = 0;
-  /// Largest `Own` in this and in the previous adjustment period; a lagging
-  /// report may still count those.
-  std::uint32_t RecentOwn = 0;
-  std::uint32_t PreviousOwn = 0;
+  /// Range of `Own` in this and in the previous adjustment period; a lagging
+  /// report was made somewhere in between.
+  std::uint32_t RecentMost = 0;
+  std::uint32_t PreviousMost = 0;
+  std::uint32_t RecentLeast = 0;
+  std::uint32_t PreviousLeast = 0;
+  /// Largest reports of the two periods; a single one may fall into a moment
+  /// in which a slot changes hands.
+  std::uint32_t RecentReport = 0;
+  std::uint32_t PreviousReport = 0;
+  /// Adjustment periods since the replica was first listed.
+  std::uint32_t Periods = 0;
   bool Gone = false;
   /// Time of the last placement of each prefix.
   std::unordered_map<std::uint64_t, TimePoint> Prefixes;
 
-  /// @return requests of others, as far as the report shows them
-  std::uint32_t foreign() const;
+  /// @brief Estimates how many requests of others run on the replica.
+  /// @param Part part of the fleet that the cell hears. While some routers are
+  ///   not heard the estimate is high, so that the limit holds; otherwise it
+  ///   is low, so that no slot idles because a report lags.
+  std::uint32_t foreign(const FleetPart &Part) const;
   /// @return most requests that this cell may have on the replica now
   std::uint32_t usable(const FleetPart &Part) const;
 };
@@ -80,6 +93,11 @@
   void adopt(const UpstreamId &Where);
   /// @brief Frees a slot.
   void release(const UpstreamId &Where);
+  /// @brief Lets the load report count at once, without allowance for lag.
+  ///
+  /// To be called after slots of a dead router were freed: it may live behind
+  /// a partition, and then its requests still run.
+  void trustReport(const UpstreamId &Where);
   /// @brief Takes token times.
   void sample(const UpstreamId &Where, std::optional<Milliseconds> FirstToken,
               std::optional<Milliseconds> InterToken);
--- a/src/router/cell_inputs.cpp
+++ b/src/router/cell_inputs.cpp
@@ -75,7 +75,7 @@
   std::vector<CellMember> Heard;
   for (const Member &Router : Members->alive())
     Heard.push_back({Router.Id, Router.Zone});
-  Pool.Owned->setMembers(Heard, Members->registeredCount());
+  Pool.Owned->setMembers(Heard, Members->registeredCount(), Context.Time.now());
   const auto Tree =
       Context.Services.find<SettingsService>(service_name::Settings)->current();
   Pool.Owned->setWorkspaces(workspaceTermsOf(*Tree));
--- a/src/scheduling/cell.cpp
+++ b/src/scheduling/cell.cpp
@@ -22,26 +22,31 @@
 
 Cell::Cell(CellSettings Settings, std::uint32_t OwnerTag, TimePoint Now,
            PlacementGuard *Guard)
-    : Settings(std::move(Settings)), OwnerTag(OwnerTag), Started(Now),
-      Guard(Guard), Replicas(this->Settings.Replica), LastAllotment(Now) {}
+    : Settings(std::move(Settings)), OwnerTag(OwnerTag), Guard(Guard),
+      Replicas(this->Settings.Replica), MembersChanged(Now),
+      LastAllotment(Now) {}
 
 void Cell::configure(CellSettings Updated) {
   Settings = std::move(Updated);
   Replicas.configure(Settings.Replica);
 }
 
-void Cell::setWorkspaces(const std::vector<WorkspaceTerms> &Terms) {
-  const FleetPart &Part = Replicas.part();
-  std::vector<WorkspaceTerms> Mine = Terms;
-  // A limit that rounds down to nothing would stop the workspace on this side.
-  for (WorkspaceTerms &Stated : Mine)
+void Cell::setWorkspaces(const std::vector<WorkspaceTerms> &Updated) {
+  Queue.configure(Updated);
+  Limited.clear();
+  for (const WorkspaceTerms &Stated : Updated)
     if (Stated.Concurrency > 0)
-      Stated.Concurrency = std::max(1U, Part.of(Stated.Concurrency));
-  Queue.configure(Mine);
+      Limited.push_back(Stated);
+  updatePart();
 }
 
 void Cell::setMembers(const std::vector<CellMember> &Heard,
-                      std::size_t Registered) {
+                      std::size_t RegisteredRouters, TimePoint Now) {
+  std::size_t Joined = 0;
+  for (const CellMember &Member : Heard)
+    Joined += router(Member.Id).Alive ? 0 : 1;
+  if (Joined > 0)
+    MembersChanged = Now;
   for (auto &[Id, Known] : Routers)
     Known.Alive = false;
   for (const CellMember &Member : Heard) {
@@ -49,30 +54,61 @@
     Known.Alive = true;
     Known.Zone = Member.Zone;
   }
-  RoutersHeard = Heard.size();
   for (auto &[Id, Known] : Routers)
     if (!Known.Alive)
       removeRouter(Known);
-  Replicas.setPart({Heard.size(), std::max(Heard.size(), Registered)});
+  Registered = std::max(Heard.size(), RegisteredRouters);
+  updatePart();
+  PartDue = true;
 }
 
-void Cell::setReplicas(const std::vector<ReplicaInfo> &List) {
-  Replicas.update(List);
+void Cell::addPart(TimePoint Now) {
+  if (!PartDue || !allReported(Now))
+    return;
+  PartDue = false;
+  for (auto &[Id, Known] : Routers)
+    Known.Counted = Known.Alive && Known.Reported;
+  updatePart();
 }
 
-bool Cell::ready(TimePoint Now) const {
-  if (Now - Started >= Settings.RebuildWait)
+bool Cell::allReported(TimePoint Now) const {
+  if (Now - MembersChanged >= Settings.RebuildWait)
     return true;
   return std::all_of(Routers.begin(), Routers.end(), [](const auto &Entry) {
     return !Entry.second.Alive || Entry.second.Reported;
   });
 }
 
+void Cell::updatePart() {
+  // A live router counts once it has reported: until then it may hold slots
+  // that another owner granted.
+  const auto Heard =
+      std::count_if(Routers.begin(), Routers.end(), [](const auto &Entry) {
+        return Entry.second.Alive && Entry.second.Reported;
+      });
+  const FleetPart Part{static_cast<std::size_t>(Heard), Registered};
+  Replicas.setPart(Part);
+  std::vector<WorkspaceTerms> Mine = Limited;
+  // A limit that rounds down to nothing would stop the workspace on this side.
+  for (WorkspaceTerms &Stated : Mine)
+    Stated.Concurrency = std::max(1U, Part.of(Stated.Concurrency));
+  Queue.configure(Mine);
+}
+
+void Cell::setReplicas(const std::vector<ReplicaInfo> &List) {
+  Replicas.update(List);
+}
+
+bool Cell::ready(TimePoint Now) const { return Rebuilt || allReported(Now); }
+
 std::vector<CellAction> Cell::decide(TimePoint Now) {
   std::vector<CellAction> Actions;
   expireGrants(Now);
   dropSilent(Now);
+  repeatGrants(Now, Actions);
   Replicas.adjust(Now);
+  addPart(Now);
+  askForReports(Actions);
   if (ready(Now)) {
     finishRebuild();
     while (grantOne(Now, Actions)) {
@@ -136,6 +172,7 @@
   Issued &Granted = Grants[Id];
   Granted.Router = To.Id;
   Granted.Session = To.Session;
+  Granted.Basis = To.LatestSequence;
   Granted.Request = Item.Id;
   Granted.Workspace = &Entry;
   Granted.Upstream = Where.Info.Id;
@@ -189,9 +226,9 @@
 Allotment Cell::allotmentFor(const RouterEntry &To,
                              const std::map<WorkspaceId, RateSum> &Sums) const {
   Allotment Message{Settings.Id, To.Session, {}};
-  const double Registered =
-      std::max<std::size_t>(1, Replicas.part().Registered);
-  const double Part = std::min(1.0, RoutersHeard / Registered);
+  const FleetPart &Fleet = Replicas.part();
+  const double Part =
+      std::min(1.0, Fleet.Heard / static_cast<double>(Fleet.Registered));
   for (const auto &[Id, Wanted] : To.Wanted) {
     if (Wanted.Rate == 0)
       continue;
@@ -209,6 +246,15 @@
   return Message;
 }
 
+void Cell::askForReports(std::vector<CellAction> &Actions) {
+  for (auto &[Id, From] : Routers) {
+    if (!From.FullWanted)
+      continue;
+    From.FullWanted = false;
+    Actions.push_back(Outgoing<Allotment>{Id, {Settings.Id, Epoch(0), {}}});
+  }
+}
+
 void Cell::allot(TimePoint Now, std::vector<CellAction> &Actions) {
   const bool Periodic = Now - LastAllotment >= AllotmentPeriod;
   if (Periodic) {
@@ -254,7 +300,7 @@
 CellStatus Cell::status(TimePoint Now) const {
   CellStatus Status;
   Status.Ready = ready(Now);
-  Status.RoutersHeard = RoutersHeard;
+  Status.RoutersHeard = Replicas.part().Heard;
   Status.RoutersRegistered = Replicas.part().Registered;
   Status.Capacity = Replicas.capacity();
   Status.InFlight = Replicas.inFlight();
@@ -270,7 +316,7 @@
   for (const auto &[Id, Known] : Replicas.all())
     Status.Replicas.push_back({Id, Known.Limit.value(),
                                Known.usable(Replicas.part()), Known.Own,
-                               Known.foreign()});
+                               Known.foreign(Replicas.part())});
   return Status;
 }
 
--- a/src/scheduling/cell_accounts.cpp
+++ b/src/scheduling/cell_accounts.cpp
@@ -8,6 +8,9 @@
 
 constexpr double CorrectionMemory = 0.8;
 constexpr double MaxCorrection = 16;
+/// A router confirms a grant within a round trip; one that is later was most
+/// likely lost, and a repeated grant does no harm.
+constexpr Milliseconds RepeatPeriod{300};
 /// Messages that are later than this are not expected.
 constexpr Milliseconds ClosedRetention{30'000};
 
@@ -42,6 +45,8 @@
   if (Sender == Routers.end() || Sender->second.Session != Update.Session)
     return;
   Sender->second.LastHeard = Now;
+  for (const Completion &Done : Update.Ended)
+    receive(From, Done, Now);
   for (const GrantProgress &State : Update.Grants) {
     acknowledge(Sender->second, State.Grant, Update.Sequence);
     const auto Found = Grants.find(State.Grant);
@@ -62,8 +67,7 @@
   const auto Found = Grants.find(Done.Grant);
   if (Found == Grants.end()) {
     // The grant may have been given up before; it must not come back.
-    Closed.emplace(Done.Grant, Now);
-    ClosedOrder.emplace_back(Now, Done.Grant);
+    close(Done.Grant, Now);
     return;
   }
   if (Found->second.Router != From)
@@ -93,13 +97,22 @@
   else if (Guard != nullptr)
     Guard->ended(Id, Granted.Print, Granted.Upstream,
                  End == GrantEnd::Answered);
-  Closed.emplace(Id, Now);
-  ClosedOrder.emplace_back(Now, Id);
+  close(Id, Now);
+  Replicas.release(Granted.Upstream);
+  detach(Id);
+}
+
+void Cell::close(GrantId Id, TimePoint Now) {
+  if (Closed.insert(Id).second)
+    ClosedOrder.emplace_back(Now, Id);
+}
+
+void Cell::detach(GrantId Id) {
+  Issued &Granted = Grants.at(Id);
   WorkspaceEntry &Entry = *Granted.Workspace;
   const auto Owner = Routers.find(Granted.Router);
   Owner->second.Grants.erase(Id);
   Owner->second.Granted.erase(Granted.Request);
-  Replicas.release(Granted.Upstream);
   Grants.erase(Id);
   Entry.InFlight -= std::min(1U, Entry.InFlight);
   Queue.refresh(Entry);
@@ -110,14 +123,14 @@
   if (Guard != nullptr)
     Guard->ended(Id, Granted.Print, Granted.Upstream, false);
   setCharge(Granted, Granted.Served, Granted.Served);
-  WorkspaceEntry &Entry = *Granted.Workspace;
-  const auto Owner = Routers.find(Granted.Router);
-  Owner->second.Grants.erase(Id);
-  Owner->second.Granted.erase(Granted.Request);
   Replicas.release(Granted.Upstream);
-  Grants.erase(Id);
-  Entry.InFlight -= std::min(1U, Entry.InFlight);
-  Queue.refresh(Entry);
+  detach(Id);
+}
+
+void Cell::forgetLost(GrantId Id) {
+  const UpstreamId Where = Grants.at(Id).Upstream;
+  forget(Id);
+  Replicas.trustReport(Where);
 }
 
 void Cell::correctHint(const Issued &Granted, double Served) {
@@ -149,6 +162,25 @@
   }
 }
 
+void Cell::repeatGrants(TimePoint Now, std::vector<CellAction> &Actions) {
+  if (Now - LastRepeat < RepeatPeriod)
+    return;
+  LastRepeat = Now;
+  for (const auto &[At, Id] : Unconfirmed) {
+    const auto Found = Grants.find(Id);
+    const auto Age = Now - At;
+    if (Found == Grants.end() || Found->second.Acknowledged ||
+        Age < RepeatPeriod || Age >= Settings.GrantLife)
+      continue;
+    const Issued &Granted = Found->second;
+    const auto Where = Replicas.all().find(Granted.Upstream);
+    Actions.push_back(Outgoing<Grant>{
+        Granted.Router,
+        {Settings.Id, Id, Granted.Session, Granted.Basis, Granted.Request,
+         Granted.Workspace->Id, Granted.Upstream, Where->second.Info.Address}});
+  }
+}
+
 void Cell::dropSilent(TimePoint Now) {
   for (auto &[Id, From] : Routers) {
     if (From.Silent || Now - From.LastHeard < Settings.Silence)
--- a/src/scheduling/cell_reports.cpp
+++ b/src/scheduling/cell_reports.cpp
@@ -38,6 +38,8 @@
   From.FullSequence = 0;
   From.Reported = true;
   From.AllotmentDue = true;
+  From.FullWanted = false;
+  PartDue = true;
   return true;
 }
 
@@ -49,8 +51,10 @@
   if (Found == Routers.end() || !Found->second.Alive)
     return;
   RouterEntry &From = Found->second;
-  if (!acceptSession(From, Report))
+  if (!acceptSession(From, Report)) {
+    From.FullWanted = Report.Session >= From.Session;
     return;
+  }
   ++Counters.Reports;
   From.LastHeard = Now;
   From.Silent = false;
@@ -181,9 +185,10 @@
   From.Wanted.clear();
   const std::set<GrantId> Before = From.Grants;
   for (const GrantId Id : Before)
-    forget(Id);
+    forgetLost(Id);
   From.Granted.clear();
   From.Reported = false;
+  From.Counted = false;
 }
 
 } // namespace mallowglade
--- a/src/scheduling/demand_book.cpp
+++ b/src/scheduling/demand_book.cpp
@@ -140,6 +140,10 @@
 }
 
 void DemandBook::receive(const Allotment &Rates, TimePoint Now) {
+  if (Rates.Session == Epoch(0)) {
+    Answered = false;
+    return;
+  }
   if (Rates.Session != Session)
     return;
   Answered = true;
--- a/src/scheduling/demand_reports.cpp
+++ b/src/scheduling/demand_reports.cpp
@@ -19,6 +19,8 @@
 constexpr Milliseconds SentRetention{4'000};
 /// Full reports repeat a completion for this time, in case it was lost.
 constexpr Milliseconds CompletionRepeat{3'500};
+/// Progress repeats it sooner, two or three times.
+constexpr Milliseconds QuickRepeat{700};
 /// A repeated grant that arrives later than this is not expected.
 constexpr Milliseconds EndedRetention{30'000};
 
@@ -115,14 +117,20 @@
 }
 
 std::optional<Progress> DemandBook::progressReport(TimePoint Now) {
-  if (Held.empty())
+  const bool RecentEnd = !Ended.empty() && Now - Ended.back().At < QuickRepeat;
+  if (Held.empty() && !RecentEnd)
     return std::nullopt;
   if (LastProgress && Now - *LastProgress < ProgressPeriod)
     return std::nullopt;
   LastProgress = Now;
-  Progress Update{Cell, Session, Sequence, {}};
+  Progress Update{Cell, Session, Sequence, {}, {}};
   for (const auto &[Id, Entry] : Held)
     Update.Grants.push_back(Entry.State);
+  for (auto Entry = Ended.rbegin(); Entry != Ended.rend(); ++Entry) {
+    if (Now - Entry->At >= QuickRepeat)
+      break;
+    Update.Ended.push_back(Entry->Done);
+  }
   return Update;
 }
 
--- a/src/scheduling/replica_table.cpp
+++ b/src/scheduling/replica_table.cpp
@@ -8,6 +8,7 @@
 
 // Load is polled each second and may be a second old when it arrives.
 constexpr Milliseconds ReportLag{2'000};
+constexpr std::uint32_t PeriodsUntilKnown = 1;
 // A prefix cache is small; older placements have most likely been evicted.
 constexpr std::size_t MaxPrefixes = 256;
 
@@ -17,22 +18,31 @@
   if (Heard >= Registered)
     return Limit;
   const std::uint64_t Product = static_cast<std::uint64_t>(Limit) * Heard;
-  const bool Majority = 2 * Heard > Registered;
-  const std::uint64_t Rounding = Majority ? Registered - 1 : 0;
+  const std::uint64_t Rounding = majority() ? Registered - 1 : 0;
   return static_cast<std::uint32_t>((Product + Rounding) / Registered);
 }
 
-std::uint32_t Replica::foreign() const {
-  const std::uint32_t Known = std::max({Own, RecentOwn, PreviousOwn});
-  const std::uint32_t Reported = Info.Reported.value_or(0);
+std::uint32_t Replica::foreign(const FleetPart &Part) const {
+  const bool Whole = Part.Heard >= Part.Registered;
+  const std::uint32_t Known = Whole
+                                  ? std::max({Own, RecentMost, PreviousMost})
+                                  : std::min({Own, RecentLeast, PreviousLeast});
+  const std::uint32_t Latest = Info.Reported.value_or(0);
+  const std::uint32_t Reported =
+      Whole ? Latest : std::max({Latest, RecentReport, PreviousReport});
   return Reported > Known ? Reported - Known : 0;
 }
 
 std::uint32_t Replica::usable(const FleetPart &Part) const {
   if (Gone)
     return 0;
+  // A minority that has just chosen a new owner does not trust a single load
+  // report: the other side may use all slots, and some change hands just then.
+  const bool Known = Periods > PeriodsUntilKnown || !Info.Reported;
+  if (!Part.majority() && !Known)
+    return 0;
   const std::uint32_t Whole = Limit.value();
-  const std::uint32_t Others = std::min(Whole, foreign());
+  const std::uint32_t Others = std::min(Whole, foreign(Part));
   return std::min(Part.of(Whole), Whole - Others);
 }
 
@@ -62,6 +72,8 @@
       Known.Limit.configure(limitsOf(Listed));
     Known.Info = Listed;
     Known.Gone = false;
+    Known.RecentReport =
+        std::max(Known.RecentReport, Listed.Reported.value_or(0));
   }
   std::erase_if(Replicas, [](const auto &Entry) {
     return Entry.second.Gone && Entry.second.Own == 0;
@@ -104,7 +116,7 @@
 void ReplicaTable::acquire(Replica &Where, std::uint64_t PrefixHash,
                            TimePoint Now) {
   ++Where.Own;
-  Where.RecentOwn = std::max(Where.RecentOwn, Where.Own);
+  Where.RecentMost = std::max(Where.RecentMost, Where.Own);
   if (PrefixHash == 0)
     return;
   Where.Prefixes[PrefixHash] = Now;
@@ -126,13 +138,24 @@
     Known.Gone = true;
   }
   ++Known.Own;
-  Known.RecentOwn = std::max(Known.RecentOwn, Known.Own);
+  Known.RecentMost = std::max(Known.RecentMost, Known.Own);
 }
 
 void ReplicaTable::release(const UpstreamId &Where) {
   const auto Found = Replicas.find(Where);
-  if (Found != Replicas.end() && Found->second.Own > 0)
-    --Found->second.Own;
+  if (Found == Replicas.end() || Found->second.Own == 0)
+    return;
+  Replica &Known = Found->second;
+  --Known.Own;
+  Known.RecentLeast = std::min(Known.RecentLeast, Known.Own);
+}
+
+void ReplicaTable::trustReport(const UpstreamId &Where) {
+  const auto Found = Replicas.find(Where);
+  if (Found == Replicas.end())
+    return;
+  Found->second.RecentMost = Found->second.Own;
+  Found->second.PreviousMost = Found->second.Own;
 }
 
 void ReplicaTable::sample(const UpstreamId &Where,
@@ -150,8 +173,13 @@
     return;
   LastWindow = Now;
   for (auto &[Id, Known] : Replicas) {
-    Known.PreviousOwn = Known.RecentOwn;
-    Known.RecentOwn = Known.Own;
+    ++Known.Periods;
+    Known.PreviousMost = Known.RecentMost;
+    Known.RecentMost = Known.Own;
+    Known.PreviousLeast = Known.RecentLeast;
+    Known.RecentLeast = Known.Own;
+    Known.PreviousReport = Known.RecentReport;
+    Known.RecentReport = Known.Info.Reported.value_or(0);
   }
 }
 
--- a/src/scheduling/wire.cpp
+++ b/src/scheduling/wire.cpp
@@ -37,7 +37,7 @@
   Visitor(M.Grant, M.Served, M.FirstToken, M.InterToken);
 }
 template <class V> void visit(V &Visitor, Progress &M) {
-  Visitor(M.Cell, M.Session, M.Sequence, M.Grants);
+  Visitor(M.Cell, M.Session, M.Sequence, M.Grants, M.Ended);
 }
 template <class V> void visit(V &Visitor, WorkspaceAllotment &M) {
   Visitor(M.Workspace, M.Fraction, M.Lag);
--- /dev/null
+++ b/tests/unit-scheduling-cell.cpp
@@ -0,0 +1,274 @@
+#include <mallowglade/scheduling.hpp>
+
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <rapidcheck.h>
+
+using namespace mallowglade;
+
+namespace {
+
+const RouterId Near("near");
+const RouterId Far("far");
+
+QueuedItem itemOf(std::uint64_t Number, std::uint64_t Prefix = 0) {
+  QueuedItem Item;
+  Item.Id = Ticket(Number);
+  Item.Hint = ServiceUnits(10);
+  Item.Print = Fingerprint(Number);
+  Item.PrefixHash = Prefix;
+  return Item;
+}
+
+DemandReport reportOf(std::uint64_t Sequence, std::vector<QueuedItem> Items,
+                      const std::string &Workspace = "w") {
+  DemandReport Report;
+  Report.Cell = CellId("c");
+  Report.Session = Epoch(1);
+  Report.Sequence = Sequence;
+  Report.Full = true;
+  WorkspaceDemand Wanted;
+  Wanted.Workspace = WorkspaceId(Workspace);
+  Wanted.Queued = static_cast<std::uint32_t>(Items.size());
+  Wanted.Next = std::move(Items);
+  Report.Workspaces.push_back(Wanted);
+  return Report;
+}
+
+std::vector<Grant> grantsIn(const std::vector<CellAction> &Actions) {
+  std::vector<Grant> Grants;
+  for (const CellAction &Action : Actions)
+    if (const auto *Granted = std::get_if<Outgoing<Grant>>(&Action))
+      Grants.push_back(Granted->Body);
+  return Grants;
+}
+
+/// Keeps everything off one replica.
+class OneReplicaGuard final : public PlacementGuard {
+public:
+  bool mayPlace(Fingerprint, const UpstreamId &Where) const override {
+    return Where != UpstreamId("u0");
+  }
+  void dispatched(GrantId, Fingerprint, const UpstreamId &) override {
+    ++Dispatched;
+  }
+  void ended(GrantId, Fingerprint, const UpstreamId &, bool) override {
+    ++Ended;
+  }
+  void crashed(GrantId, Fingerprint, const UpstreamId &) override { ++Crashed; }
+
+  int Dispatched = 0;
+  int Ended = 0;
+  int Crashed = 0;
+};
+
+} // namespace
+
+class SchedulingCellTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(SchedulingCellTest);
+  CPPUNIT_TEST(prefixGoesToItsReplica);
+  CPPUNIT_TEST(affinityLeavesNoSlotIdle);
+  CPPUNIT_TEST(guardIsAskedAndTold);
+  CPPUNIT_TEST(repeatedAndStaleGrantsAreNotRun);
+  CPPUNIT_TEST(newOwnerWaitsAndKeepsOrder);
+  CPPUNIT_TEST(lateReportBringsNoEndedGrantBack);
+  CPPUNIT_TEST(partsNeverExceedTheLimit);
+  CPPUNIT_TEST(limitFollowsTokenTimes);
+  CPPUNIT_TEST(wireFormatKeepsAllFields);
+  CPPUNIT_TEST_SUITE_END();
+
+public:
+  void setUp() override { Owned = makeCell(nullptr, 4); }
+
+  // Guards against losing the prefix cache: equal prompts go to one replica.
+  void prefixGoesToItsReplica() {
+    Owned->receive(
+        Near, reportOf(1, {itemOf(1, 7), itemOf(2, 8), itemOf(3, 7)}), Now);
+    const auto Grants = grantsIn(Owned->decide(Now));
+    CPPUNIT_ASSERT_EQUAL(std::size_t{3}, Grants.size());
+    CPPUNIT_ASSERT(Grants[0].Upstream == Grants[2].Upstream);
+    CPPUNIT_ASSERT(Grants[0].Upstream != Grants[1].Upstream);
+  }
+
+  // Guards against waiting for a warm replica while another one is free.
+  void affinityLeavesNoSlotIdle() {
+    Owned = makeCell(nullptr, 1);
+    Owned->receive(Near, reportOf(1, {itemOf(1, 7), itemOf(2, 7)}), Now);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{2}, grantsIn(Owned->decide(Now)).size());
+  }
+
+  // Guards against a quarantine that does not see what runs.
+  void guardIsAskedAndTold() {
+    OneReplicaGuard Guard;
+    Owned = makeCell(&Guard, 2);
+    Owned->receive(Near, reportOf(1, {itemOf(1), itemOf(2), itemOf(3)}), Now);
+    const auto Grants = grantsIn(Owned->decide(Now));
+    CPPUNIT_ASSERT_EQUAL(std::size_t{2}, Grants.size());
+    for (const Grant &Each : Grants)
+      CPPUNIT_ASSERT(Each.Upstream == UpstreamId("u1"));
+    Completion Done;
+    Done.Grant = Grants[0].Id;
+    Done.End = GrantEnd::Crashed;
+    Owned->receive(Near, Done, Now);
+    Done.Grant = Grants[1].Id;
+    Done.End = GrantEnd::Answered;
+    Owned->receive(Near, Done, Now);
+    CPPUNIT_ASSERT_EQUAL(2, Guard.Dispatched);
+    CPPUNIT_ASSERT_EQUAL(1, Guard.Crashed);
+    CPPUNIT_ASSERT_EQUAL(1, Guard.Ended);
+  }
+
+  // Guards against running a request twice, and against grants that arrive
+  // after their slot was given to somebody else.
+  void repeatedAndStaleGrantsAreNotRun() {
+    DemandBook Book(CellId("c"), Epoch(5));
+    for (const char *Name : {"a", "b", "c"}) {
+      BookRequest Request;
+      Request.Id = RequestId(Name);
+      Request.Workspace = WorkspaceId("w");
+      Book.enqueue(Request, Now);
+    }
+    const auto Report = *Book.report(Now);
+    Grant Offer;
+    Offer.Id = GrantId(1);
+    Offer.Session = Epoch(5);
+    Offer.Basis = Report.Sequence;
+    Offer.Workspace = WorkspaceId("w");
+    Offer.Request = Report.Workspaces[0].Next[0].Id;
+    CPPUNIT_ASSERT(
+        std::holds_alternative<DispatchNow>(Book.receive(Offer, Now)));
+    CPPUNIT_ASSERT(Book.receive(Offer, Now).index() == 0);
+    Offer.Id = GrantId(2);
+    CPPUNIT_ASSERT(reasonOf(Book.receive(Offer, Now)) ==
+                   ReturnReason::NoRequest);
+    Offer.Request = Report.Workspaces[0].Next[1].Id;
+    Offer.Session = Epoch(4);
+    CPPUNIT_ASSERT(reasonOf(Book.receive(Offer, Now)) ==
+                   ReturnReason::WrongEpoch);
+    Offer.Session = Epoch(5);
+    CPPUNIT_ASSERT(reasonOf(Book.receive(Offer, Now + Milliseconds(2'000))) ==
+                   ReturnReason::Expired);
+  }
+
+  // Guards against a new owner that grants slots still in use, or that forgets
+  // which workspace was ahead.
+  void newOwnerWaitsAndKeepsOrder() {
+    DemandReport First = reportOf(1, {itemOf(1)}, "ahead");
+    First.Workspaces[0].Lag = 500;
+    HeldGrant Held;
+    Held.Grant = GrantId(77);
+    Held.Workspace = WorkspaceId("ahead");
+    Held.Upstream = UpstreamId("u0");
+    First.Held.push_back(Held);
+    Owned = makeCell(nullptr, 1, {Near, Far});
+    Owned->receive(Near, First, Now);
+    CPPUNIT_ASSERT(grantsIn(Owned->decide(Now)).empty());
+    Owned->receive(Far, reportOf(1, {itemOf(1)}, "behind"), Now);
+    const auto Grants = grantsIn(Owned->decide(Now));
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, Grants.size());
+    CPPUNIT_ASSERT(Grants[0].Workspace == WorkspaceId("behind"));
+    CPPUNIT_ASSERT(Grants[0].Upstream == UpstreamId("u1"));
+  }
+
+  // Guards against slots that leak when messages overtake each other.
+  void lateReportBringsNoEndedGrantBack() {
+    Owned->receive(Near, reportOf(1, {itemOf(1)}), Now);
+    const Grant Granted = grantsIn(Owned->decide(Now)).at(0);
+    Completion Done;
+    Done.Grant = Granted.Id;
+    Done.Served = ServiceUnits(10);
+    Owned->receive(Near, Done, Now);
+    DemandReport Late = reportOf(2, {});
+    HeldGrant Held;
+    Held.Grant = Granted.Id;
+    Held.Workspace = WorkspaceId("w");
+    Held.Upstream = Granted.Upstream;
+    Late.Held.push_back(Held);
+    Owned->receive(Near, Late, Now);
+    CPPUNIT_ASSERT_EQUAL(0U, Owned->status(Now).InFlight);
+  }
+
+  // Guards against two sides of a partition that overload a replica.
+  void partsNeverExceedTheLimit() {
+    CPPUNIT_ASSERT(rc::check("parts", [] {
+      const auto Registered = *rc::gen::inRange<std::size_t>(1, 400);
+      const auto Side = *rc::gen::inRange<std::size_t>(0, Registered + 1);
+      const auto Limit = *rc::gen::inRange<std::uint32_t>(1, 5'000);
+      const FleetPart Left{Side, Registered};
+      const FleetPart Right{Registered - Side, Registered};
+      RC_ASSERT(Left.of(Limit) + Right.of(Limit) <= Limit);
+      RC_ASSERT(Left.of(Limit) + Right.of(Limit) + 1 >= Limit);
+    }));
+  }
+
+  // Guards against a limit that ignores slow replicas, or that never grows.
+  void limitFollowsTokenTimes() {
+    AdaptiveLimit Limit({4, 32, Milliseconds(630), Milliseconds(68)});
+    for (int Second = 0; Second < 20; ++Second) {
+      Limit.markSaturated();
+      Limit.sample(Milliseconds(100), Milliseconds(20));
+      Limit.adjust(Now += Milliseconds(1'000));
+    }
+    CPPUNIT_ASSERT_EQUAL(32U, Limit.value());
+    for (int Second = 0; Second < 40; ++Second) {
+      Limit.sample(Milliseconds(100), Milliseconds(90));
+      Limit.adjust(Now += Milliseconds(1'000));
+    }
+    CPPUNIT_ASSERT_EQUAL(1U, Limit.value());
+  }
+
+  // Guards against fields that are left out or swapped on the wire, and
+  // against a crash on foreign bytes.
+  void wireFormatKeepsAllFields() {
+    DemandReport Report = reportOf(3, {itemOf(1, 9)});
+    Report.Workspaces[0].Lag = 2.5;
+    Report.Workspaces[0].Next[0].Avoid.emplace_back("u9");
+    Completion Done;
+    Done.Grant = GrantId(5);
+    Done.Served = ServiceUnits(1'234'567);
+    Done.FirstToken = Milliseconds(8);
+    Done.Sign = UpstreamSign::Leaving;
+    Report.Ended.push_back(Done);
+    const auto Back = decode<DemandReport>(encode(Report));
+    CPPUNIT_ASSERT(isOk(Back));
+    const DemandReport &Read = valueOf(Back);
+    CPPUNIT_ASSERT_EQUAL(encode(Report), encode(Read));
+    CPPUNIT_ASSERT_EQUAL(2.5, Read.Workspaces[0].Lag);
+    CPPUNIT_ASSERT(Read.Workspaces[0].Next[0].Avoid[0] == UpstreamId("u9"));
+    CPPUNIT_ASSERT_EQUAL(1'234'567.0, Read.Ended[0].Served.Value);
+    CPPUNIT_ASSERT(Read.Ended[0].FirstToken == Milliseconds(8));
+    CPPUNIT_ASSERT(!Read.Ended[0].InterToken);
+    CPPUNIT_ASSERT(Read.Ended[0].Sign == UpstreamSign::Leaving);
+    CPPUNIT_ASSERT(rc::check("foreign bytes", [](const std::string &Bytes) {
+      RC_ASSERT(!isOk(decode<DemandReport>(Bytes)));
+    }));
+  }
+
+private:
+  std::unique_ptr<Cell> makeCell(PlacementGuard *Guard, std::uint32_t Slots,
+                                 const std::vector<RouterId> &Routers = {
+                                     Near}) const {
+    CellSettings Settings;
+    Settings.Id = CellId("c");
+    Settings.Replica = {Slots, Slots, Milliseconds(630), Milliseconds(68)};
+    Settings.MaxRequestUnits = 100;
+    auto Made = std::make_unique<Cell>(Settings, 1, Now, Guard);
+    std::vector<CellMember> Members;
+    Members.reserve(Routers.size());
+    for (const RouterId &Id : Routers)
+      Members.push_back({Id, ZoneId("z")});
+    Made->setMembers(Members, Members.size(), Now);
+    Made->setReplicas({{UpstreamId("u0"), "a0", ZoneId("z"), Slots, {}},
+                       {UpstreamId("u1"), "a1", ZoneId("z"), Slots, {}}});
+    return Made;
+  }
+
+  static ReturnReason reasonOf(const GrantOutcome &Outcome) {
+    return std::get<GrantReturn>(Outcome).Reason;
+  }
+
+  TimePoint Now{std::chrono::hours(1)};
+  std::unique_ptr<Cell> Owned;
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(SchedulingCellTest);
--- /dev/null
+++ b/tests/unit-scheduling-limits.cpp
@@ -0,0 +1,192 @@
+#include "support/scheduling_fleet.hpp"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <rapidcheck.h>
+
+using namespace mallowglade;
+using namespace mallowglade::test;
+
+namespace {
+
+constexpr std::size_t Routers = 4;
+constexpr double Limit = 40;
+
+BookRequest requestOf(std::uint64_t Number) {
+  BookRequest Request;
+  Request.Id = RequestId(std::to_string(Number));
+  Request.Workspace = WorkspaceId("w");
+  Request.Hint = ServiceUnits(1);
+  return Request;
+}
+
+/// Four books and a cell that allots one workspace's request rate.
+class RateFleet {
+public:
+  RateFleet() : Owned(settings(), 1, Now) {
+    std::vector<CellMember> Members;
+    for (std::size_t Router = 0; Router < Routers; ++Router) {
+      Books.emplace_back(CellId("c"), Epoch(1));
+      Books.back().configure(
+          {{WorkspaceId("w"), Limit, 0, 0, Milliseconds(1'000)}}, Routers);
+      Members.push_back({RouterId(std::to_string(Router)), ZoneId("z")});
+    }
+    Owned.setMembers(Members, Routers, Now);
+  }
+
+  /// Offers requests for a second; returns how many were accepted.
+  std::size_t second(const std::vector<double> &PerSecond) {
+    std::size_t Accepted = 0;
+    for (int Tick = 0; Tick < 100; ++Tick) {
+      Now += Milliseconds(10);
+      for (std::size_t Router = 0; Router < Routers; ++Router) {
+        Due[Router] += PerSecond[Router] / 100;
+        for (; Due[Router] >= 1; Due[Router] -= 1)
+          Accepted += Books[Router].enqueue(requestOf(Next++), Now) ? 0 : 1;
+        Books[Router].expire(Now);
+        if (const auto Report = Books[Router].report(Now))
+          Owned.receive(RouterId(std::to_string(Router)), *Report, Now);
+      }
+      for (const CellAction &Action : Owned.decide(Now))
+        if (const auto *Rates = std::get_if<Outgoing<Allotment>>(&Action))
+          Books[std::stoul(Rates->To.Value)].receive(Rates->Body, Now);
+    }
+    return Accepted;
+  }
+
+private:
+  static CellSettings settings() {
+    CellSettings Settings;
+    Settings.Id = CellId("c");
+    return Settings;
+  }
+
+  TimePoint Now{std::chrono::hours(1)};
+  Cell Owned;
+  std::vector<DemandBook> Books;
+  std::vector<double> Due = std::vector<double>(Routers, 0);
+  std::uint64_t Next = 1;
+};
+
+} // namespace
+
+class SchedulingLimitsTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(SchedulingLimitsTest);
+  CPPUNIT_TEST(fleetRateFollowsTraffic);
+  CPPUNIT_TEST(floodIsRefusedAtOnce);
+  CPPUNIT_TEST(floodStarvesNobody);
+  CPPUNIT_TEST(queueTimeEndsTheWait);
+  CPPUNIT_TEST(serviceRateCountsActualCost);
+  CPPUNIT_TEST(retriesStayWithinBudget);
+  CPPUNIT_TEST_SUITE_END();
+
+public:
+  // Guards against a rate limit that is exceeded fleet-wide, or that cannot be
+  // used because the traffic enters through few routers.
+  void fleetRateFollowsTraffic() {
+    CPPUNIT_ASSERT(rc::check("rate limit", [] {
+      RateFleet Fleet;
+      std::vector<double> Offered(Routers);
+      for (double &Rate : Offered)
+        Rate = *rc::gen::element(0.0, 5.0, 30.0, 200.0);
+      double Total = 0;
+      for (const double Rate : Offered)
+        Total += Rate;
+      std::size_t Accepted = 0;
+      // The first second goes by the equal split, the next ones by traffic.
+      for (int Second = 0; Second < 3; ++Second)
+        Fleet.second(Offered);
+      for (int Second = 0; Second < 10; ++Second)
+        Accepted += Fleet.second(Offered);
+      const double Wanted = std::min(Total, Limit) * 10;
+      RC_ASSERT(Accepted <= 1.15 * Limit * 10);
+      RC_ASSERT(Accepted >= 0.8 * Wanted - 4);
+    }));
+  }
+
+  // Guards against a flood that is queued without end instead of refused.
+  void floodIsRefusedAtOnce() {
+    DemandBook Book(CellId("c"), Epoch(1));
+    Book.configure({{WorkspaceId("w"), 0, 0, 5, Milliseconds(1'000)}}, 1);
+    const TimePoint Now{std::chrono::hours(1)};
+    for (std::uint64_t Number = 0; Number < 5; ++Number)
+      CPPUNIT_ASSERT(!Book.enqueue(requestOf(Number), Now));
+    const auto Refused = Book.enqueue(requestOf(5), Now);
+    CPPUNIT_ASSERT(Refused);
+    CPPUNIT_ASSERT(Refused->Reason.Id == ErrorId::QueueFull);
+    CPPUNIT_ASSERT(Refused->RetryAfter.count() > 0);
+  }
+
+  // Guards against a small workspace that waits behind a long queue of
+  // another one.
+  void floodStarvesNobody() {
+    CPPUNIT_ASSERT(rc::check("flood", [] {
+      FleetConfig Config;
+      Config.Seed = *rc::gen::arbitrary<std::uint64_t>();
+      Config.Weights = {1, *rc::gen::element(0.5, 1.0, 4.0)};
+      Config.Backlog = {{1, 0, 0}, {0, 500, 500}};
+      SimulatedFleet Fleet(Config);
+      Fleet.run(Milliseconds(10'000));
+      const double Slots = Config.Replicas * Config.Slots;
+      const double Longest = Fleet.bound() *
+                             (Config.Weights[0] + Config.Weights[1]) /
+                             (Slots * SimulatedFleet::SlotRate) * 1'000;
+      RC_ASSERT(Fleet.longestStarvation().count() <= Longest);
+      RC_ASSERT(Fleet.largestGap() <= Fleet.bound());
+    }));
+  }
+
+  // Guards against requests that are held until their caller gives up.
+  void queueTimeEndsTheWait() {
+    DemandBook Book(CellId("c"), Epoch(1));
+    Book.configure({{WorkspaceId("w"), 0, 0, 0, Milliseconds(100)}}, 1);
+    const TimePoint Now{std::chrono::hours(1)};
+    CPPUNIT_ASSERT(!Book.enqueue(requestOf(1), Now));
+    CPPUNIT_ASSERT(Book.expire(Now + Milliseconds(99)).empty());
+    const auto Refused = Book.expire(Now + Milliseconds(100));
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, Refused.size());
+    CPPUNIT_ASSERT(Refused.front().Reason.Id == ErrorId::QueueTimeout);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{0}, Book.queued());
+  }
+
+  // Guards against a service rate that is evaded by small hints.
+  void serviceRateCountsActualCost() {
+    DemandBook Book(CellId("c"), Epoch(1));
+    Book.configure({{WorkspaceId("w"), 0, 100, 0, Milliseconds(0)}}, 1);
+    TimePoint Now{std::chrono::hours(1)};
+    CPPUNIT_ASSERT(!Book.enqueue(requestOf(1), Now));
+    const auto Report = Book.report(Now);
+    const Grant Offer{CellId("c"),
+                      GrantId(1),
+                      Epoch(1),
+                      Report->Sequence,
+                      Report->Workspaces.front().Next.front().Id,
+                      WorkspaceId("w"),
+                      UpstreamId("u"),
+                      ""};
+    Book.receive(Offer, Now);
+    Completion Done;
+    Done.Grant = GrantId(1);
+    Done.Served = ServiceUnits(1'000);
+    CPPUNIT_ASSERT(Book.finish(Done, Now));
+    const auto Refused = Book.enqueue(requestOf(2), Now);
+    CPPUNIT_ASSERT(Refused);
+    CPPUNIT_ASSERT(Refused->Reason.Id == ErrorId::RateLimited);
+    Now += Refused->RetryAfter + Milliseconds(10);
+    CPPUNIT_ASSERT(!Book.enqueue(requestOf(3), Now));
+  }
+
+  // Guards against a retry storm while upstreams fail.
+  void retriesStayWithinBudget() {
+    RetryBudget Budget;
+    int Retries = 0;
+    for (int Request = 0; Request < 1'000; ++Request) {
+      Budget.success();
+      Retries += Budget.takeRetry() ? 1 : 0;
+    }
+    CPPUNIT_ASSERT(Retries <= 111);
+    CPPUNIT_ASSERT(Retries >= 99);
+  }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(SchedulingLimitsTest);
