Show the fleet's state and manage workspaces from the command line

Cause: operators could change settings but not see the fleet, stop a router or add a workspace without writing JSON.

Change: /admin/status joins members, upstreams, settings version and the views of other parts; /admin/drain begins a planned stop. A change is answered after it is in force on the router that ran it, so a command that follows sees it.

--- a/include/mallowglade/detail/cli/admin_client.hpp
+++ b/include/mallowglade/detail/cli/admin_client.hpp
@@ -40,6 +40,12 @@
 Result<AdminAnswer> adminGet(const RouterOptions &Options,
                              const std::string &Path,
                              const AdminQuery &Query = {});
+/// @brief Reads from a router other than the one in the options.
+/// @param Router address of the router
+Result<AdminAnswer> adminGetFrom(const std::string &Router,
+                                 const RouterOptions &Options,
+                                 const std::string &Path,
+                                 const AdminQuery &Query = {});
 /// @brief Sends a command to a router.
 /// @return the reply; `upstream.connection_lost` if it may have been lost
 Result<AdminAnswer> adminPost(const RouterOptions &Options,
--- a/include/mallowglade/detail/router/context.hpp
+++ b/include/mallowglade/detail/router/context.hpp
@@ -21,7 +21,6 @@
 inline constexpr const char *Peers = "peers";
 inline constexpr const char *Admin = "admin";
 inline constexpr const char *SettingsVersions = "settings_versions";
-inline constexpr const char *Status = "status";
 } // namespace service_name
 
 /// @brief What every service of a router may use.
--- a/include/mallowglade/detail/router/tree_settings.hpp
+++ b/include/mallowglade/detail/router/tree_settings.hpp
@@ -33,7 +33,7 @@
   /// @brief Runs an operator's change on the platform threads and waits.
   /// @param Command what to change
   /// @param Origin where the command comes from
-  /// @return how the change ended
+  /// @return how the change ended; an accepted one is in force here by then
   ChangeResult change(ChangeCommand Command, ChangeOrigin Origin);
 
 private:
@@ -48,6 +48,7 @@
   void receivePeerMessages();
   void updateMembers();
   void publishReady();
+  void applyOwnChange(const ChangeResult &Result);
   TimePoint now() const { return Context.Time.now(); }
 
   RouterContext Context;
--- a/src/cli/admin_client.cpp
+++ b/src/cli/admin_client.cpp
@@ -28,8 +28,9 @@
   return Text;
 }
 
-httplib::Client makeClient(const RouterOptions &Options) {
-  const HostPort Address = splitAddress(Options.router());
+httplib::Client makeClient(const RouterOptions &Options,
+                           const std::string &Router) {
+  const HostPort Address = splitAddress(Router);
   httplib::Client Client(Address.Host, Address.Port);
   Client.set_connection_timeout(ConnectTimeout);
   Client.set_read_timeout(ReplyTimeout);
@@ -40,7 +41,7 @@
 }
 
 Result<AdminAnswer> answerOf(const httplib::Result &Reply,
-                             const RouterOptions &Options) {
+                             const std::string &Router) {
   if (Reply)
     return AdminAnswer{Reply->status, json::parse(Reply->body, nullptr, false)};
   const bool NotSent = Reply.error() == httplib::Error::Connection ||
@@ -48,7 +49,7 @@
   return Error{NotSent ? ErrorId::ConnectFailed : ErrorId::ConnectionLost,
                "the router does not answer (" +
                    httplib::to_string(Reply.error()) + ")",
-               Options.router()};
+               Router};
 }
 
 std::string memberText(const json &Document, const char *Key) {
@@ -95,15 +96,23 @@
 
 Result<AdminAnswer> adminGet(const RouterOptions &Options,
                              const std::string &Path, const AdminQuery &Query) {
-  httplib::Client Client = makeClient(Options);
+  return adminGetFrom(Options.router(), Options, Path, Query);
+}
+
+Result<AdminAnswer> adminGetFrom(const std::string &Router,
+                                 const RouterOptions &Options,
+                                 const std::string &Path,
+                                 const AdminQuery &Query) {
+  httplib::Client Client = makeClient(Options, Router);
   const httplib::Params Parameters(Query.begin(), Query.end());
-  return answerOf(Client.Get(Path, Parameters, httplib::Headers()), Options);
+  return answerOf(Client.Get(Path, Parameters, httplib::Headers()), Router);
 }
 
 Result<AdminAnswer> adminPost(const RouterOptions &Options,
                               const std::string &Path, const json &Body) {
-  httplib::Client Client = makeClient(Options);
-  return answerOf(Client.Post(Path, Body.dump(), "application/json"), Options);
+  const std::string Router = Options.router();
+  httplib::Client Client = makeClient(Options, Router);
+  return answerOf(Client.Post(Path, Body.dump(), "application/json"), Router);
 }
 
 ExitCode reportFailure(const Error &Failure) {
--- a/src/cli/change_client.cpp
+++ b/src/cli/change_client.cpp
@@ -71,7 +71,7 @@
   ExitCode Code = ExitCode::Ok;
   if (failed(Reply, Code)) {
     fmt::print(stderr, "  change: {}\n", Change.ChangeId);
-    if (Code == ExitCode::Conflict)
+    if (Code == ExitCode::Conflict && valueOf(Reply).Body.contains("diff"))
       printConflict(valueOf(Reply).Body);
     return Code;
   }
--- a/src/cli/command_line.cpp
+++ b/src/cli/command_line.cpp
@@ -69,6 +69,11 @@
   for (const detail::Command &Command : detail::commands())
     if (Command.Name.starts_with(Words[0] + " "))
       Related.push_back(Command.Name);
+  if (Words[0].starts_with("-")) {
+    fmt::print(stderr, "mallowglade: the command comes before its options, as "
+                       "in 'mallowglade status --json'\n");
+    return;
+  }
   if (Related.empty()) {
     fmt::print(stderr,
                "mallowglade: unknown command '{}'\n'mallowglade --help' lists "
--- a/src/router/app.cpp
+++ b/src/router/app.cpp
@@ -9,6 +9,7 @@
 #include <mallowglade/detail/router/request_runner.hpp>
 #include <mallowglade/detail/router/settings_admin.hpp>
 #include <mallowglade/detail/router/static_services.hpp>
+#include <mallowglade/detail/router/status_admin.hpp>
 #include <mallowglade/detail/router/tree_settings.hpp>
 #include <mallowglade/detail/router/upstream_service.hpp>
 
@@ -85,13 +86,16 @@
   std::shared_ptr<FrontEnd> Front;
   std::optional<TimePoint> DrainStarted;
   std::atomic<int> StopRequests{0};
+  std::function<void()> RequestStop;
   std::mutex Mutex;
   std::condition_variable Changed;
   bool Stopped = false;
 };
 
 RouterApp::RouterApp(InstanceSettings Settings)
-    : Impl(std::make_unique<State>(std::move(Settings))) {}
+    : Impl(std::make_unique<State>(std::move(Settings))) {
+  Impl->RequestStop = [this] { requestStop(); };
+}
 
 RouterApp::~RouterApp() {
   Impl->Front->stop();
@@ -164,9 +168,19 @@
   Runner = std::make_shared<RequestRunner>(Context, Answers, Attempts);
   Front = std::make_shared<FrontEnd>(Context, Answers, Runner);
   Services.add<AdminRoutes>(service_name::Admin, Front);
-  std::make_shared<SettingsAdmin>(Context, Tree)->addRoutes(*Front);
+  const auto Status = std::make_shared<StatusAdmin>(Context, Front, Tree);
+  std::make_shared<SettingsAdmin>(Context, Tree)->addRoutes(*Status);
   if (Cells != nullptr)
-    Cells->addRoutes(*Front);
+    Cells->addRoutes(*Status);
+  Status->addRoutes(
+      [this] {
+        return RouterLoad{Runner->active(), StopRequests > 0};
+      },
+      [this] {
+        // A further request would end the router at once.
+        if (StopRequests == 0)
+          RequestStop();
+      });
 }
 
 Result<Success> RouterApp::start() {
--- a/src/router/tree_settings.cpp
+++ b/src/router/tree_settings.cpp
@@ -179,6 +179,12 @@
                     {{"error", toString(Action.Reason)}});
 }
 
+void TreeSettingsService::applyOwnChange(const ChangeResult &Result) {
+  const auto *Accepted = std::get_if<ChangeAccepted>(&Result);
+  if (Accepted != nullptr && Accepted->Settings)
+    perform(Replica.onLocalChange(*Accepted->Settings, now()));
+}
+
 ChangeResult TreeSettingsService::change(ChangeCommand Command,
                                          ChangeOrigin Origin) {
   auto Promise = std::make_shared<std::promise<ChangeResult>>();
@@ -190,17 +196,15 @@
                          Promise = std::move(Promise), Change] {
     ChangeResult Result =
         runChange(Self->Context.Store, *Self->records(), Self->Seed, *Change);
-    const auto *Accepted = std::get_if<ChangeAccepted>(&Result);
-    if (Accepted != nullptr && Accepted->Settings)
-      Self->Context.Control.post([Self, Settings = *Accepted->Settings] {
-        Self->perform(Self->Replica.onLocalChange(Settings, Self->now()));
-      });
-    Promise->set_value(std::move(Result));
+    Self->Context.Control.post([Self, Promise, Result = std::move(Result)] {
+      Self->applyOwnChange(Result);
+      Promise->set_value(Result);
+    });
   });
   try {
     return Outcome.get();
   } catch (const std::future_error &) {
-    // The pool drops waiting tasks when the router stops.
+    // Tasks that still wait are dropped when the router stops.
     return ChangeRefused{{ErrorId::Draining, "the router is stopping", ""}};
   }
 }
--- a/src/settings/json_reader.cpp
+++ b/src/settings/json_reader.cpp
@@ -1,6 +1,7 @@
 #include <mallowglade/settings.hpp>
 
 #include <arpa/inet.h>
+#include <fmt/format.h>
 
 #include <algorithm>
 #include <array>
@@ -43,6 +44,10 @@
          Port <= MaxPort;
 }
 
+std::string formatNumber(double Number) {
+  return fmt::format("{:.12g}", Number);
+}
+
 } // namespace
 
 bool isNumericAddress(const std::string &Text) {
@@ -162,8 +167,8 @@
   const auto Number = Value->get<double>();
   if (!(Number >= Min && Number <= Max))
     fail(ErrorId::OutOfRange, Key,
-         "the value must be from " + std::to_string(Min) + " to " +
-             std::to_string(Max));
+         "the value must be from " + formatNumber(Min) + " to " +
+             formatNumber(Max));
   return Number;
 }
 
