--- a/src/router/app.cpp
+++ b/src/router/app.cpp
@@ -3,12 +3,12 @@
 #include <mallowglade/detail/router/answer.hpp>
 #include <mallowglade/detail/router/cell_dispatcher.hpp>
 #include <mallowglade/detail/router/front_end.hpp>
+#include <mallowglade/detail/router/gossip_member_service.hpp>
 #include <mallowglade/detail/router/keyed_claim_service.hpp>
 #include <mallowglade/detail/router/local_dispatcher.hpp>
 #include <mallowglade/detail/router/peer_part.hpp>
 #include <mallowglade/detail/router/request_runner.hpp>
 #include <mallowglade/detail/router/settings_admin.hpp>
-#include <mallowglade/detail/router/static_services.hpp>
 #include <mallowglade/detail/router/status_admin.hpp>
 #include <mallowglade/detail/router/tree_settings.hpp>
 #include <mallowglade/detail/router/upstream_service.hpp>
@@ -22,6 +22,10 @@
 constexpr std::size_t PlatformThreads = 8;
 constexpr Milliseconds PlatformCallTimeout{2'000};
 constexpr Milliseconds HousekeepingPeriod{100};
+/// Time to write the last problem documents.
+constexpr Milliseconds AbortLimit{3'000};
+/// Time for the owners of claims to confirm the ends of the last requests.
+constexpr Milliseconds SettleLimit{3'000};
 
 LogLevel parseLevel(const std::string &Name) {
   if (Name == "debug")
@@ -63,6 +67,7 @@
   void buildFrontEnd();
   void housekeeping();
   void finishDrain();
+  void abortRequests();
   void endNow();
 
   InstanceSettings Settings;
@@ -79,12 +84,15 @@
   RouterContext Context;
   std::vector<std::shared_ptr<RouterPart>> Parts;
   std::shared_ptr<PeerPart> Peers;
+  std::shared_ptr<GossipMemberService> Members;
   std::shared_ptr<TreeSettingsService> Tree;
   std::shared_ptr<CellDispatcher> Cells;
   std::shared_ptr<LocalDispatcher> Local;
   std::shared_ptr<RequestRunner> Runner;
   std::shared_ptr<FrontEnd> Front;
   std::optional<TimePoint> DrainStarted;
+  std::optional<TimePoint> AbortedAt;
+  std::optional<TimePoint> IdleSince;
   std::atomic<int> StopRequests{0};
   std::function<void()> RequestStop;
   std::mutex Mutex;
@@ -130,13 +138,9 @@
 }
 
 void RouterApp::State::buildMembers() {
-  Member Self;
-  Self.Id = RouterId(Settings.PeerAdvertise);
-  Self.Start = Context.Start;
-  Self.Zone = Settings.Zone;
-  Self.CallerAddress = Settings.Advertise;
-  Services.add<MemberService>(service_name::Members,
-                              std::make_shared<SingleMember>(Self));
+  Members = std::make_shared<GossipMemberService>(Context);
+  Services.add<MemberService>(service_name::Members, Members);
+  Parts.push_back(Members);
 }
 
 void RouterApp::State::buildClaims() {
@@ -169,6 +173,7 @@
   Front = std::make_shared<FrontEnd>(Context, Answers, Runner);
   Services.add<AdminRoutes>(service_name::Admin, Front);
   const auto Status = std::make_shared<StatusAdmin>(Context, Front, Tree);
+  Members->addRoutes(*Status);
   std::make_shared<SettingsAdmin>(Context, Tree)->addRoutes(*Status);
   if (Cells != nullptr)
     Cells->addRoutes(*Status);
@@ -185,7 +190,7 @@
 
 Result<Success> RouterApp::start() {
   Impl->buildServices();
-  const Result<Success> Listening = Impl->Peers->listen();
+  Result<Success> Listening = Impl->Peers->listen();
   if (!isOk(Listening))
     return Listening;
   Impl->Control.start();
@@ -222,11 +227,33 @@
   const auto Waited = Time.now() - *DrainStarted;
   if (Waited >= Settings.AddressTtl)
     Front->redirectNewRequests();
-  const bool Idle = Waited >= Settings.AddressTtl && Runner->active() == 0;
-  if (Idle || Waited >= Settings.DrainLimit)
+  if (Waited >= Settings.DrainLimit)
+    abortRequests();
+  const bool Idle = Runner->active() == 0 && Front->serving() == 0;
+  const bool MayEnd = AbortedAt || Waited >= Settings.AddressTtl;
+  if (!Idle || !MayEnd) {
+    IdleSince.reset();
+    if (AbortedAt && Time.now() - *AbortedAt >= AbortLimit)
+      endNow();
+    return;
+  }
+  if (!IdleSince)
+    IdleSince = Time.now();
+  const auto Claims = Services.find<ClaimService>(service_name::Claims);
+  if (Claims->unsettled() == 0 || Time.now() - *IdleSince >= SettleLimit)
     endNow();
 }
 
+/// Callers get a problem document with an accurate verdict instead of a reset.
+void RouterApp::State::abortRequests() {
+  if (AbortedAt)
+    return;
+  Log.warning("requests in progress are given up");
+  AbortedAt = Time.now();
+  Front->redirectNewRequests();
+  Runner->abortAll();
+}
+
 void RouterApp::State::endNow() {
   const std::lock_guard<std::mutex> Lock(Mutex);
   Stopped = true;
@@ -235,7 +262,7 @@
 
 void RouterApp::requestStop() {
   if (++Impl->StopRequests > 1) {
-    Impl->endNow();
+    Impl->Control.post([this] { Impl->abortRequests(); });
     return;
   }
   Impl->Control.post([this] {
