--- a/src/router/app.cpp
+++ b/src/router/app.cpp
@@ -10,6 +10,7 @@
 #include <mallowglade/detail/router/quarantine_service.hpp>
 #include <mallowglade/detail/router/request_runner.hpp>
 #include <mallowglade/detail/router/settings_admin.hpp>
+#include <mallowglade/detail/router/status_admin.hpp>
 #include <mallowglade/detail/router/tree_settings.hpp>
 #include <mallowglade/detail/router/upstream_service.hpp>
 
@@ -66,6 +67,7 @@
   void buildQuarantine();
   void buildDispatcher();
   void buildFrontEnd();
+  void addOperatorCalls();
   void housekeeping();
   void finishDrain();
   void abortRequests();
@@ -96,13 +98,16 @@
   std::optional<TimePoint> AbortedAt;
   std::optional<TimePoint> IdleSince;
   std::atomic<int> StopRequests{0};
+  std::function<void()> RequestStop;
   std::mutex Mutex;
   std::condition_variable Changed;
   bool Stopped = false;
 };
 
 RouterApp::RouterApp(InstanceSettings Settings)
-    : Impl(std::make_unique<State>(std::move(Settings))) {}
+    : Impl(std::make_unique<State>(std::move(Settings))) {
+  Impl->RequestStop = [this] { requestStop(); };
+}
 
 RouterApp::~RouterApp() {
   Impl->Front->stop();
@@ -178,15 +183,29 @@
   Runner = std::make_shared<RequestRunner>(Context, Answers, Attempts);
   Front = std::make_shared<FrontEnd>(Context, Answers, Runner);
   Services.add<AdminRoutes>(service_name::Admin, Front);
-  Members->addRoutes(*Front);
-  Quarantine->addRoutes(*Front);
   Quarantine->onConviction([Weak = std::weak_ptr(Runner)] {
     if (const auto Requests = Weak.lock())
       Requests->refuseConvicted();
   });
-  std::make_shared<SettingsAdmin>(Context, Tree)->addRoutes(*Front);
+  addOperatorCalls();
+}
+
+void RouterApp::State::addOperatorCalls() {
+  const auto Status = std::make_shared<StatusAdmin>(Context, Front, Tree);
+  Members->addRoutes(*Status);
+  Quarantine->addRoutes(*Status);
+  std::make_shared<SettingsAdmin>(Context, Tree)->addRoutes(*Status);
   if (Cells != nullptr)
-    Cells->addRoutes(*Front);
+    Cells->addRoutes(*Status);
+  Status->addRoutes(
+      [this] {
+        return RouterLoad{Runner->active(), StopRequests > 0};
+      },
+      [this] {
+        // A further request would end the router at once.
+        if (StopRequests == 0)
+          RequestStop();
+      });
 }
 
 Result<Success> RouterApp::start() {
