Collect replies to peer messages before writing them

Cause: the owner of a cell receives reports of every router; each reply cost a write there and a read at the sender.

Change: replies wait until 16 are due, one is 1 s old, 64 KiB have arrived, or a PING or SETTINGS frame has to be answered anyway.

--- a/include/mallowglade/detail/transport/http2_connection.hpp
+++ b/include/mallowglade/detail/transport/http2_connection.hpp
@@ -54,6 +54,8 @@
   void open(bool IsClient);
   /// @brief Writes what the session has to send, after the current task.
   void flushSoon();
+  /// @return true if what the session has to send may wait
+  virtual bool maySendLater() const { return false; }
   /// @brief Called once when the connection ends.
   virtual void onClosed() = 0;
   virtual void onHeader(std::int32_t Stream, std::string_view Name,
--- a/include/mallowglade/detail/transport/incoming_connection.hpp
+++ b/include/mallowglade/detail/transport/incoming_connection.hpp
@@ -12,6 +12,8 @@
   /// @brief Starts the session.
   /// @param OnEnded called once when the connection has ended
   void start(std::function<void()> OnEnded);
+  /// @brief Sends replies that have waited long enough.
+  void sendDueReplies(TimePoint Now);
 
 private:
   struct Request {
@@ -23,6 +25,8 @@
     bool Answered = false;
   };
 
+  bool maySendLater() const override { return true; }
+  void sendNow();
   void onClosed() override;
   void onHeader(std::int32_t Stream, std::string_view Name,
                 std::string_view Value) override;
@@ -37,6 +41,10 @@
   std::function<void()> Ended;
   std::map<std::int32_t, Request> Requests;
   std::size_t BufferedBytes = 0;
+  /// Replies submitted since the last flush, and when the first one was.
+  std::size_t WaitingReplies = 0;
+  TimePoint FirstReply;
+  std::size_t BytesSinceFlush = 0;
 };
 
 } // namespace mallowglade::detail
--- a/src/transport/http2_connection.cpp
+++ b/src/transport/http2_connection.cpp
@@ -149,7 +149,8 @@
   }
   if (Closed)
     return;
-  flushSoon();
+  if (!maySendLater())
+    flushSoon();
   waitForBytes();
 }
 
--- a/src/transport/http2_peers.cpp
+++ b/src/transport/http2_peers.cpp
@@ -124,9 +124,11 @@
   // stays silent for twice that time has lost its other side.
   const auto SilenceLimit = 2 * Shared->Options.IdleLimit;
   const auto Connections = Incoming;
-  for (const auto &Connection : Connections)
+  for (const auto &Connection : Connections) {
+    Connection->sendDueReplies(Now);
     if (Now - Connection->lastReceived() >= SilenceLimit)
       Connection->close();
+  }
 }
 
 detail::OutgoingLink &Http2Peers::State::linkTo(const RouterId &To) {
--- a/src/transport/incoming_connection.cpp
+++ b/src/transport/incoming_connection.cpp
@@ -11,6 +11,12 @@
 constexpr std::string_view PathPrefix = "/peer/";
 /// Longest path or header value kept; ids and types are far shorter.
 constexpr std::size_t MaxHeaderValue = 256;
+/// A reply only frees its sender's window of 128 messages, so several are sent
+/// at once: each write costs as much as the handling of a message.
+constexpr std::size_t MaxWaitingReplies = 16;
+constexpr Milliseconds MaxReplyDelay{1'000};
+/// More received bytes than this may call for a window update.
+constexpr std::size_t MaxBytesBeforeFlush = 65'536;
 
 } // namespace
 
@@ -23,6 +29,17 @@
   open(false);
 }
 
+void IncomingConnection::sendDueReplies(TimePoint Now) {
+  if (WaitingReplies > 0 && Now - FirstReply >= MaxReplyDelay)
+    sendNow();
+}
+
+void IncomingConnection::sendNow() {
+  WaitingReplies = 0;
+  BytesSinceFlush = 0;
+  flushSoon();
+}
+
 void IncomingConnection::onClosed() {
   Requests.clear();
   const auto Self = shared_from_this();
@@ -43,6 +60,9 @@
 }
 
 void IncomingConnection::onData(std::int32_t Stream, std::string_view Bytes) {
+  BytesSinceFlush += Bytes.size();
+  if (BytesSinceFlush >= MaxBytesBeforeFlush)
+    sendNow();
   const auto Found = Requests.find(Stream);
   if (Found == Requests.end() || Found->second.TooLarge)
     return;
@@ -65,6 +85,9 @@
   const bool Message =
       Frame.hd.type == NGHTTP2_HEADERS || Frame.hd.type == NGHTTP2_DATA;
   const bool End = (Frame.hd.flags & NGHTTP2_FLAG_END_STREAM) != 0;
+  // PING and SETTINGS are answered at once.
+  if (!Message)
+    sendNow();
   if (!Message || !End)
     return;
   const auto Found = Requests.find(Frame.hd.stream_id);
@@ -114,6 +137,10 @@
       reinterpret_cast<std::uint8_t *>(const_cast<char *>(Status.data())),
       Name.size(), Status.size(), NGHTTP2_NV_FLAG_NONE};
   nghttp2_submit_response(Session, Stream, &Header, 1, nullptr);
+  if (WaitingReplies == 0)
+    FirstReply = Shared->Time.now();
+  if (++WaitingReplies >= MaxWaitingReplies)
+    sendNow();
 }
 
 void IncomingConnection::onStreamClosed(std::int32_t Stream) {
