--- a/src/router/app.cpp
+++ b/src/router/app.cpp
@@ -3,13 +3,14 @@
 #include <mallowglade/detail/router/answer.hpp>
 #include <mallowglade/detail/router/cell_dispatcher.hpp>
 #include <mallowglade/detail/router/front_end.hpp>
+#include <mallowglade/detail/router/gossip_member_service.hpp>
 #include <mallowglade/detail/router/keyed_claim_service.hpp>
 #include <mallowglade/detail/router/local_dispatcher.hpp>
 #include <mallowglade/detail/router/peer_part.hpp>
 #include <mallowglade/detail/router/quarantine_service.hpp>
 #include <mallowglade/detail/router/request_runner.hpp>
 #include <mallowglade/detail/router/settings_admin.hpp>
-#include <mallowglade/detail/router/static_services.hpp>
+#include <mallowglade/detail/router/status_admin.hpp>
 #include <mallowglade/detail/router/tree_settings.hpp>
 #include <mallowglade/detail/router/upstream_service.hpp>
 
@@ -66,6 +67,7 @@
   void buildQuarantine();
   void buildDispatcher();
   void buildFrontEnd();
+  void addOperatorCalls();
   void housekeeping();
   void finishDrain();
   void abortRequests();
@@ -85,6 +87,7 @@
   RouterContext Context;
   std::vector<std::shared_ptr<RouterPart>> Parts;
   std::shared_ptr<PeerPart> Peers;
+  std::shared_ptr<GossipMemberService> Members;
   std::shared_ptr<TreeSettingsService> Tree;
   std::shared_ptr<CellDispatcher> Cells;
   std::shared_ptr<LocalDispatcher> Local;
@@ -95,13 +98,16 @@
   std::optional<TimePoint> AbortedAt;
   std::optional<TimePoint> IdleSince;
   std::atomic<int> StopRequests{0};
+  std::function<void()> RequestStop;
   std::mutex Mutex;
   std::condition_variable Changed;
   bool Stopped = false;
 };
 
 RouterApp::RouterApp(InstanceSettings Settings)
-    : Impl(std::make_unique<State>(std::move(Settings))) {}
+    : Impl(std::make_unique<State>(std::move(Settings))) {
+  Impl->RequestStop = [this] { requestStop(); };
+}
 
 RouterApp::~RouterApp() {
   Impl->Front->stop();
@@ -137,13 +143,9 @@
 }
 
 void RouterApp::State::buildMembers() {
-  Member Self;
-  Self.Id = RouterId(Settings.PeerAdvertise);
-  Self.Start = Context.Start;
-  Self.Zone = Settings.Zone;
-  Self.CallerAddress = Settings.Advertise;
-  Services.add<MemberService>(service_name::Members,
-                              std::make_shared<SingleMember>(Self));
+  Members = std::make_shared<GossipMemberService>(Context);
+  Services.add<MemberService>(service_name::Members, Members);
+  Parts.push_back(Members);
 }
 
 void RouterApp::State::buildClaims() {
@@ -181,19 +183,34 @@
   Runner = std::make_shared<RequestRunner>(Context, Answers, Attempts);
   Front = std::make_shared<FrontEnd>(Context, Answers, Runner);
   Services.add<AdminRoutes>(service_name::Admin, Front);
-  Quarantine->addRoutes(*Front);
   Quarantine->onConviction([Weak = std::weak_ptr(Runner)] {
     if (const auto Requests = Weak.lock())
       Requests->refuseConvicted();
   });
-  std::make_shared<SettingsAdmin>(Context, Tree)->addRoutes(*Front);
+  addOperatorCalls();
+}
+
+void RouterApp::State::addOperatorCalls() {
+  const auto Status = std::make_shared<StatusAdmin>(Context, Front, Tree);
+  Members->addRoutes(*Status);
+  Quarantine->addRoutes(*Status);
+  std::make_shared<SettingsAdmin>(Context, Tree)->addRoutes(*Status);
   if (Cells != nullptr)
-    Cells->addRoutes(*Front);
+    Cells->addRoutes(*Status);
+  Status->addRoutes(
+      [this] {
+        return RouterLoad{Runner->active(), StopRequests > 0};
+      },
+      [this] {
+        // A further request would end the router at once.
+        if (StopRequests == 0)
+          RequestStop();
+      });
 }
 
 Result<Success> RouterApp::start() {
   Impl->buildServices();
-  const Result<Success> Listening = Impl->Peers->listen();
+  Result<Success> Listening = Impl->Peers->listen();
   if (!isOk(Listening))
     return Listening;
   Impl->Control.start();
