Tell refusals, cut connections and crashes apart

Cause: three parts disagreed on what an attempt's end says about its upstream. An upstream that refused with Retry-After was taken out of the directory for a second, and the cell dispatcher read its absence as "leaving" for good; with one upstream the request then waited for the whole queue time. A connection cut twice counted as two crashes and convicted an innocent request. Retries were charged against two budgets, so that free ones failed on the second.

Change: `Busy` is a sign of its own and pauses the upstream in the cell; a lost connection is a crash only if the upstream accepts no new connection; the cell dispatcher has no retry budget.

Conclusion: found by the tests against failing upstreams; they stay as they were.

--- a/include/mallowglade/detail/router/cell_dispatcher.hpp
+++ b/include/mallowglade/detail/router/cell_dispatcher.hpp
@@ -68,8 +68,7 @@
   void onAllotment(const RouterId &From, const Allotment &Rates);
 
   void listen();
-  UpstreamSign signOf(const PoolId &Pool, const UpstreamId &Id,
-                      AttemptEnd End) const;
+  UpstreamSign signOf(const UpstreamId &Id, AttemptEnd End) const;
   PoolState *poolOf(const CellId &Id);
   Cell *ownedCell(const CellId &Id);
   void applySettings();
@@ -98,7 +97,6 @@
       Handlers;
   std::map<PoolId, PoolState> Pools;
   std::unordered_map<RequestId, Pending> Waiting;
-  RetryBudget Retries;
   SeededRandom Random;
   bool RunPlanned = false;
 };
--- a/include/mallowglade/detail/router/dispatcher.hpp
+++ b/include/mallowglade/detail/router/dispatcher.hpp
@@ -56,6 +56,8 @@
   Refused,
   /// The connection ended before the answer was complete.
   ConnectionLost,
+  /// The connection ended and the upstream accepts no new one.
+  UpstreamCrashed,
   /// No byte arrived within the gap limit.
   Silent,
   /// The router gave the attempt up, for example after the caller left.
--- a/include/mallowglade/detail/router/upstream_directory.hpp
+++ b/include/mallowglade/detail/router/upstream_directory.hpp
@@ -29,6 +29,8 @@
   virtual ~UpstreamDirectory() = default;
   /// @return upstreams of a pool that are not leaving and not down
   virtual std::vector<Upstream> available(const PoolId &Pool) const = 0;
+  /// @return true if the upstream said, or is listed, that it is leaving
+  virtual bool isLeaving(const UpstreamId &Id) const = 0;
   /// @brief Stops new work to an upstream that said it is leaving.
   virtual void markLeaving(const UpstreamId &Id) = 0;
   /// @brief Stops new work to an upstream until a probe succeeds.
--- a/include/mallowglade/detail/router/upstream_service.hpp
+++ b/include/mallowglade/detail/router/upstream_service.hpp
@@ -18,6 +18,7 @@
   explicit UpstreamService(RouterContext Context);
 
   std::vector<Upstream> available(const PoolId &Pool) const override;
+  bool isLeaving(const UpstreamId &Id) const override;
   void markLeaving(const UpstreamId &Id) override;
   void markDown(const UpstreamId &Id) override;
   void pause(const UpstreamId &Id, Milliseconds Span) override;
--- a/include/mallowglade/detail/scheduling/messages.hpp
+++ b/include/mallowglade/detail/scheduling/messages.hpp
@@ -50,7 +50,7 @@
 enum class GrantEnd : std::uint8_t { Answered, NotRun, Cancelled, Crashed };
 
 /// @brief What the end of a run shows about its upstream.
-enum class UpstreamSign : std::uint8_t { None, Leaving, Down };
+enum class UpstreamSign : std::uint8_t { None, Leaving, Down, Busy };
 
 /// @brief Final account of a grant.
 struct Completion {
--- a/src/router/attempt_run.cpp
+++ b/src/router/attempt_run.cpp
@@ -6,6 +6,8 @@
 
 #include <nlohmann/json.hpp>
 
+#include <thread>
+
 namespace mallowglade {
 
 namespace {
@@ -13,6 +15,8 @@
 constexpr Milliseconds ConnectTimeout{1'000};
 constexpr Milliseconds ProgressPeriod{250};
 constexpr Milliseconds ProbeTimeout{500};
+/// The sockets of a process that crashes do not all close at once.
+constexpr Milliseconds CrashSettleTime{20};
 constexpr int ServerErrorStatus = 500;
 
 /// Passes the bytes of one attempt on to the answer.
@@ -67,6 +71,16 @@
   std::string Whole;
 };
 
+/// A new connection tells an upstream that is gone from a connection that was
+/// cut or went silent.
+bool isGone(AttemptEnd End, const std::string &Address) {
+  if (End == AttemptEnd::ConnectionLost)
+    std::this_thread::sleep_for(CrashSettleTime);
+  else if (End != AttemptEnd::Silent)
+    return End == AttemptEnd::ConnectFailed;
+  return !detail::acceptsTcp(Address, ProbeTimeout);
+}
+
 } // namespace
 
 void RequestRunner::runAttempt(const RunPointer &Current,
@@ -96,17 +110,19 @@
   const AttemptEnd Raw = callUpstream(Where.Address, Payload,
                                       {ConnectTimeout, Request.Pool.GapLimit},
                                       Receiver, &Current->Cancellation);
-  const AttemptEnd End = Sink.end(Raw);
-  // A new connection tells a silent connection from an upstream that is gone.
-  const bool Gone = End == AttemptEnd::Silent &&
-                    !detail::acceptsTcp(Where.Address, ProbeTimeout);
+  AttemptEnd End = Sink.end(Raw);
+  const bool Gone = isGone(End, Where.Address);
+  // An upstream that went silent before it was gone may have lost its network;
+  // its requests are no suspects.
+  if (Gone && End == AttemptEnd::ConnectionLost)
+    End = AttemptEnd::UpstreamCrashed;
   Context.Control.post([Self = shared_from_this(), Current, Where, End, Gone,
                         Head = Sink.head(), Progress = Meter.progress()] {
     const auto Upstreams =
         Self->Context.Services.find<UpstreamDirectory>(service_name::Upstreams);
     if (Head.Leaving)
       Upstreams->markLeaving(Where.Upstream);
-    else if (End == AttemptEnd::ConnectFailed || Gone)
+    else if (Gone)
       Upstreams->markDown(Where.Upstream);
     else if (End == AttemptEnd::Refused && Head.RetryAfterSeconds > 0)
       Upstreams->pause(Where.Upstream,
--- a/src/router/cell_dispatcher.cpp
+++ b/src/router/cell_dispatcher.cpp
@@ -8,6 +8,8 @@
 constexpr Milliseconds MeasurePeriod{1'000};
 constexpr Milliseconds SoonDelay{5};
 constexpr Milliseconds RetryLater{1'000};
+/// A refusal without a longer wait of its own keeps work away for this time.
+constexpr Milliseconds BusyPause{1'000};
 
 namespace message_type {
 constexpr const char *Demand = "demand";
@@ -25,8 +27,9 @@
   case AttemptEnd::ConnectFailed:
   case AttemptEnd::Refused:
     return GrantEnd::NotRun;
-  case AttemptEnd::ConnectionLost:
+  case AttemptEnd::UpstreamCrashed:
     return GrantEnd::Crashed;
+  case AttemptEnd::ConnectionLost:
   case AttemptEnd::Silent:
   case AttemptEnd::Cancelled:
     return GrantEnd::Cancelled;
@@ -129,11 +132,6 @@
     Done(Refusal{{ErrorId::NoCapacity, "the pool is gone", ""}, RetryLater});
     return;
   }
-  if (Request.Retry && !Retries.takeRetry()) {
-    Done(Refusal{{ErrorId::NoCapacity, "the retry budget is used up", ""},
-                 RetryLater});
-    return;
-  }
   BookRequest Entry;
   Entry.Id = Request.Id;
   Entry.Workspace = Request.Workspace;
@@ -176,8 +174,6 @@
 
 void CellDispatcher::finish(const RequestId &, const Assignment &Where,
                             AttemptEnd End, const AttemptProgress &State) {
-  if (End == AttemptEnd::Answered)
-    Retries.success();
   for (auto &[Id, Pool] : Pools) {
     Completion Done;
     Done.Grant = Where.Grant;
@@ -185,24 +181,21 @@
     Done.End = grantEndOf(End);
     Done.FirstToken = State.FirstToken;
     Done.InterToken = State.InterToken;
-    Done.Sign = signOf(Id, Where.Upstream, End);
+    Done.Sign = signOf(Where.Upstream, End);
     const auto Message = Pool.Book.finish(Done, Context.Time.now());
     if (Message)
       send(Pool.Owner, message_type::Completion, *Message);
   }
 }
 
-UpstreamSign CellDispatcher::signOf(const PoolId &Pool, const UpstreamId &Id,
+UpstreamSign CellDispatcher::signOf(const UpstreamId &Id,
                                     AttemptEnd End) const {
-  if (End == AttemptEnd::ConnectFailed)
+  if (End == AttemptEnd::ConnectFailed || End == AttemptEnd::UpstreamCrashed)
     return UpstreamSign::Down;
   if (End != AttemptEnd::Refused)
     return UpstreamSign::None;
   // The attempt marked the upstream as leaving if its refusal said so.
-  for (const Upstream &Known : Upstreams->available(Pool))
-    if (Known.Id == Id)
-      return UpstreamSign::None;
-  return UpstreamSign::Leaving;
+  return Upstreams->isLeaving(Id) ? UpstreamSign::Leaving : UpstreamSign::Busy;
 }
 
 void CellDispatcher::runSoon() {
@@ -274,6 +267,8 @@
     Upstreams->markDown(Done.Upstream);
   else if (Done.Sign == UpstreamSign::Leaving)
     Upstreams->markLeaving(Done.Upstream);
+  else if (Done.Sign == UpstreamSign::Busy)
+    Upstreams->pause(Done.Upstream, BusyPause);
   if (Cell *Owned = ownedCell(Done.Cell)) {
     Owned->receive(From, Done, Context.Time.now());
     runCell(*poolOf(Done.Cell));
--- a/src/router/request_runner.cpp
+++ b/src/router/request_runner.cpp
@@ -21,6 +21,7 @@
     return AttemptFailure::Silent;
   case AttemptEnd::Answered:
   case AttemptEnd::ConnectionLost:
+  case AttemptEnd::UpstreamCrashed:
   case AttemptEnd::Cancelled:
     return AttemptFailure::Interrupted;
   }
@@ -37,6 +38,7 @@
     return ErrorId::Timeout;
   case AttemptEnd::Answered:
   case AttemptEnd::ConnectionLost:
+  case AttemptEnd::UpstreamCrashed:
   case AttemptEnd::Cancelled:
     return ErrorId::ConnectionLost;
   }
--- a/src/router/upstream_service.cpp
+++ b/src/router/upstream_service.cpp
@@ -24,6 +24,11 @@
   return List;
 }
 
+bool UpstreamService::isLeaving(const UpstreamId &Id) const {
+  const auto Found = Entries.find(Id);
+  return Found != Entries.end() && Found->second.Leaving;
+}
+
 void UpstreamService::markLeaving(const UpstreamId &Id) {
   const auto Found = Entries.find(Id);
   if (Found == Entries.end() || Found->second.Leaving)
