Measure how long membership changes take to be known everywhere

Cause: the times for zone loss and partitions were only known from trials.

Change: bench-membership loses and restarts one router and every eighth router, and splits the fleet in halves for 60 s.

--- a/bench/bench-membership.cpp
+++ b/bench/bench-membership.cpp
@@ -1,7 +1,7 @@
 // Cost of the membership and of the links between routers; one JSON object a
 // line. Messages are encoded and decoded, but cross no socket.
 
-#include "../tests/fake_member_network.hpp"
+#include "../tests/support/fake_member_network.hpp"
 
 #include <mallowglade/transport.hpp>
 
@@ -61,23 +61,53 @@
          double(messagesOf(Fleet) - Messages) * Share, "messages/s");
 }
 
+void reportAgreement(FakeMemberNetwork &Fleet, std::string_view Event) {
+  constexpr auto Limit = 300'000ms;
+  const std::uint64_t Bytes = Fleet.bytesSent();
+  const auto Took = Fleet.runUntil([&Fleet] { return Fleet.agreed(); }, Limit);
+  const std::size_t Size = Fleet.Nodes.size();
+  const double Seconds = std::max(0.1, double(Took.count()) / 1e3);
+  report(std::string(Event) + "_known_everywhere", "fleet", Size,
+         double(Took.count()), "ms");
+  report(std::string(Event) + "_bytes", "router", Size,
+         double(Fleet.bytesSent() - Bytes) / Seconds / double(Size), "bytes/s");
+}
+
+/// Loses and restarts every eighth router, then splits the fleet in halves.
+void measureEvents(FakeMemberNetwork &Fleet) {
+  constexpr std::size_t Zones = 8;
+  const std::size_t Size = Fleet.Nodes.size();
+  for (std::size_t I = 0; I < Size; I += Zones)
+    Fleet.node(I).Running = false;
+  reportAgreement(Fleet, "zone_loss");
+  const std::set<RouterId> Seeds{FakeMemberNetwork::idOf(1),
+                                 FakeMemberNetwork::idOf(2)};
+  for (std::size_t I = 0; I < Size; I += Zones)
+    Fleet.start(I, Seeds);
+  reportAgreement(Fleet, "zone_return");
+  Fleet.Connected = [](const RouterId &From, const RouterId &To) {
+    return stableHash(From.Value) % 2 == stableHash(To.Value) % 2;
+  };
+  Fleet.run(60'000ms);
+  Fleet.Connected = nullptr;
+  reportAgreement(Fleet, "partition_end");
+}
+
 void measureMembership(std::size_t Size) {
   constexpr std::uint64_t Seed = 1;
   constexpr unsigned LossPercent = 5;
   const double Before = heapBytes();
   FakeMemberNetwork Fleet(Seed);
   Fleet.startAll(Size);
-  const auto Agreed =
-      Fleet.runUntil([&Fleet] { return Fleet.agreed(); }, 120'000ms);
-  report("membership_cold_start", "fleet", Size, double(Agreed.count()), "ms");
+  reportAgreement(Fleet, "cold_start");
   measurePhase(Fleet, "after_start");
   report("membership_memory", "router", Size,
          (heapBytes() - Before) / double(Size), "bytes");
   Fleet.node(0).Running = false;
-  const auto Found =
-      Fleet.runUntil([&Fleet] { return Fleet.agreed(); }, 120'000ms);
-  report("membership_loss_known_everywhere", "fleet", Size,
-         double(Found.count()), "ms");
+  reportAgreement(Fleet, "router_loss");
+  Fleet.start(0, {FakeMemberNetwork::idOf(1)});
+  reportAgreement(Fleet, "router_return");
+  measureEvents(Fleet);
   Fleet.LossPercent = LossPercent;
   measurePhase(Fleet, "with_5_percent_loss");
 }
--- a/tests/unit-membership.cpp
+++ b/tests/unit-membership.cpp
@@ -1,4 +1,4 @@
-#include "fake_member_network.hpp"
+#include "support/fake_member_network.hpp"
 
 #include <cppunit/extensions/HelperMacros.h>
 
