Keep the keyed state of the message code between messages

Cause: HMAC-SHA256 took 3.0 us at each end of a message; most of it was looking up the algorithm and setting up the key.

Change: MessageSeal holds one keyed context per router and hashes envelope and body without copying them. The code on the wire is the same.

--- a/include/mallowglade/detail/transport/http2_connection.hpp
+++ b/include/mallowglade/detail/transport/http2_connection.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <mallowglade/detail/transport/http2_peers.hpp>
+#include <mallowglade/detail/transport/message_seal.hpp>
 
 #include <asio/ip/tcp.hpp>
 #include <nghttp2/nghttp2.h>
@@ -17,11 +18,13 @@
 struct PeerShared {
   PeerShared(asio::io_context &Context, const Clock &Time,
              Http2PeersOptions Options)
-      : Context(Context), Time(Time), Options(std::move(Options)) {}
+      : Context(Context), Time(Time), Options(std::move(Options)),
+        Seal(this->Options.FleetKey) {}
 
   asio::io_context &Context;
   const Clock &Time;
   Http2PeersOptions Options;
+  MessageSeal Seal;
   PeerTraffic Traffic;
   std::map<std::string, PeerNetwork::Handler, std::less<>> Handlers;
   /// One buffer for all connections, since only one is read at a time.
--- a/include/mallowglade/detail/transport/message_seal.hpp
+++ b/include/mallowglade/detail/transport/message_seal.hpp
@@ -2,6 +2,7 @@
 
 #include <mallowglade/detail/transport/peer_network.hpp>
 
+#include <memory>
 #include <optional>
 #include <string>
 #include <string_view>
@@ -20,18 +21,31 @@
   PeerSender From;
 };
 
-/// @brief Puts the HMAC-SHA256 of envelope and body in front of the body.
-/// @param Key fleet key
-/// @return the sealed message
-std::string sealMessage(std::string_view Key, const MessageEnvelope &Envelope,
-                        std::string_view Body);
-
-/// @brief Checks a sealed message.
-/// @param Key fleet key
-/// @param Sealed message as received
-/// @return the body, or nothing if the code is missing or wrong
-std::optional<std::string_view> openMessage(std::string_view Key,
-                                            const MessageEnvelope &Envelope,
-                                            std::string_view Sealed);
+/// @brief Authenticates messages with HMAC-SHA256; for one thread.
+///
+/// Keeps the keyed state between messages: setting it up takes longer than
+/// hashing a short message.
+class MessageSeal {
+public:
+  /// @param Key fleet key
+  explicit MessageSeal(std::string_view Key);
+  ~MessageSeal();
+  MessageSeal(const MessageSeal &) = delete;
+  MessageSeal &operator=(const MessageSeal &) = delete;
+
+  /// @brief Puts the code of envelope and body in front of the body.
+  std::string seal(const MessageEnvelope &Envelope, std::string_view Body);
+  /// @brief Checks a sealed message.
+  /// @param Sealed message as received
+  /// @return the body, or nothing if the code is missing or wrong
+  std::optional<std::string_view> open(const MessageEnvelope &Envelope,
+                                       std::string_view Sealed);
+
+private:
+  std::string codeOf(const MessageEnvelope &Envelope, std::string_view Body);
+
+  struct State;
+  std::unique_ptr<State> Impl;
+};
 
 } // namespace mallowglade::detail
--- a/src/transport/http2_peers.cpp
+++ b/src/transport/http2_peers.cpp
@@ -1,7 +1,6 @@
 #include <mallowglade/transport.hpp>
 
 #include <mallowglade/detail/transport/incoming_connection.hpp>
-#include <mallowglade/detail/transport/message_seal.hpp>
 #include <mallowglade/detail/transport/outgoing_link.hpp>
 
 #include <asio/post.hpp>
@@ -178,7 +177,7 @@
   }
   const detail::MessageEnvelope Envelope{
       To, std::string(Type), PeerSender{Options.Self, Options.Start}};
-  std::string Sealed = detail::sealMessage(Options.FleetKey, Envelope, Body);
+  std::string Sealed = Impl->Shared->Seal.seal(Envelope, Body);
   Impl->linkTo(To).send(Type, std::move(Sealed));
 }
 
--- a/src/transport/incoming_connection.cpp
+++ b/src/transport/incoming_connection.cpp
@@ -1,7 +1,5 @@
 #include <mallowglade/detail/transport/incoming_connection.hpp>
 
-#include <mallowglade/detail/transport/message_seal.hpp>
-
 #include <charconv>
 
 namespace mallowglade::detail {
@@ -118,8 +116,7 @@
   Envelope.From.Router = RouterId(Received.Sender);
   const char *End = Received.Start.data() + Received.Start.size();
   std::from_chars(Received.Start.data(), End, Envelope.From.Start.Value);
-  const auto Body =
-      openMessage(Shared->Options.FleetKey, Envelope, Received.Sealed);
+  const auto Body = Shared->Seal.open(Envelope, Received.Sealed);
   if (!Body)
     return "403";
   const auto Handler = Shared->Handlers.find(Envelope.Type);
--- a/tests/unit-peers.cpp
+++ b/tests/unit-peers.cpp
@@ -1,3 +1,4 @@
+#include <mallowglade/detail/transport/message_seal.hpp>
 #include <mallowglade/kernel.hpp>
 #include <mallowglade/transport.hpp>
 
@@ -37,6 +38,7 @@
 
 class PeersTest : public CppUnit::TestFixture {
   CPPUNIT_TEST_SUITE(PeersTest);
+  CPPUNIT_TEST(codeCoversTheWholeMessage);
   CPPUNIT_TEST(messagesArriveBothWays);
   CPPUNIT_TEST(ownMessageArrivesAfterTheCall);
   CPPUNIT_TEST(forgedMessageIsRejected);
@@ -56,6 +58,30 @@
     Right.emplace(Context, Time, optionsOf(freeAddress()));
   }
 
+  // Guards against a code that leaves a part of the message open to change,
+  // and against state that one message leaves behind for the next.
+  void codeCoversTheWholeMessage() {
+    detail::MessageSeal Seal(FleetKey);
+    const detail::MessageEnvelope Sent{
+        RouterId("a"), "grant", {RouterId("b"), Incarnation(1)}};
+    const std::string Sealed = Seal.seal(Sent, "body");
+    const std::string Covered("a\0grant\0b\0001\0body", 16);
+    CPPUNIT_ASSERT(Sealed == hmacSha256(FleetKey, Covered) + "body");
+    CPPUNIT_ASSERT(Sealed == Seal.seal(Sent, "body"));
+    CPPUNIT_ASSERT(Seal.open(Sent, Sealed) == std::string_view("body"));
+    std::vector<detail::MessageEnvelope> Altered(4, Sent);
+    Altered[0].To = RouterId("c");
+    Altered[1].Type = "claim";
+    Altered[2].From.Router = RouterId("c");
+    Altered[3].From.Start = Incarnation(2);
+    for (const auto &Envelope : Altered)
+      CPPUNIT_ASSERT(!Seal.open(Envelope, Sealed));
+    std::string Changed = Sealed;
+    Changed.back() ^= 1;
+    CPPUNIT_ASSERT(!Seal.open(Sent, Changed));
+    CPPUNIT_ASSERT(!Seal.open(Sent, Sealed.substr(0, 31)));
+  }
+
   // Guards against lost, altered or wrongly attributed messages.
   void messagesArriveBothWays() {
     start(*Left);
