--- a/src/router/app.cpp
+++ b/src/router/app.cpp
@@ -7,8 +7,10 @@
 #include <mallowglade/detail/router/keyed_claim_service.hpp>
 #include <mallowglade/detail/router/local_dispatcher.hpp>
 #include <mallowglade/detail/router/peer_part.hpp>
+#include <mallowglade/detail/router/quarantine_service.hpp>
 #include <mallowglade/detail/router/request_runner.hpp>
 #include <mallowglade/detail/router/settings_admin.hpp>
+#include <mallowglade/detail/router/status_admin.hpp>
 #include <mallowglade/detail/router/tree_settings.hpp>
 #include <mallowglade/detail/router/upstream_service.hpp>
 
@@ -62,8 +64,10 @@
   void buildMembers();
   void buildClaims();
   void buildUpstreams();
+  void buildQuarantine();
   void buildDispatcher();
   void buildFrontEnd();
+  void addOperatorCalls();
   void housekeeping();
   void finishDrain();
   void abortRequests();
@@ -87,19 +91,23 @@
   std::shared_ptr<TreeSettingsService> Tree;
   std::shared_ptr<CellDispatcher> Cells;
   std::shared_ptr<LocalDispatcher> Local;
+  std::shared_ptr<QuarantineService> Quarantine;
   std::shared_ptr<RequestRunner> Runner;
   std::shared_ptr<FrontEnd> Front;
   std::optional<TimePoint> DrainStarted;
   std::optional<TimePoint> AbortedAt;
   std::optional<TimePoint> IdleSince;
   std::atomic<int> StopRequests{0};
+  std::function<void()> RequestStop;
   std::mutex Mutex;
   std::condition_variable Changed;
   bool Stopped = false;
 };
 
 RouterApp::RouterApp(InstanceSettings Settings)
-    : Impl(std::make_unique<State>(std::move(Settings))) {}
+    : Impl(std::make_unique<State>(std::move(Settings))) {
+  Impl->RequestStop = [this] { requestStop(); };
+}
 
 RouterApp::~RouterApp() {
   Impl->Front->stop();
@@ -116,6 +124,7 @@
   buildMembers();
   buildClaims();
   buildUpstreams();
+  buildQuarantine();
   buildDispatcher();
   buildFrontEnd();
 }
@@ -145,6 +154,12 @@
   Parts.push_back(Claims);
 }
 
+void RouterApp::State::buildQuarantine() {
+  Quarantine = std::make_shared<QuarantineService>(Context);
+  Services.add<QuarantineService>(service_name::Quarantine, Quarantine);
+  Parts.push_back(Quarantine);
+}
+
 void RouterApp::State::buildUpstreams() {
   auto Upstreams = std::make_shared<UpstreamService>(Context);
   Services.add<UpstreamDirectory>(service_name::Upstreams, Upstreams);
@@ -153,7 +168,7 @@
 
 void RouterApp::State::buildDispatcher() {
   if (Settings.Policy == "cell") {
-    Cells = std::make_shared<CellDispatcher>(Context);
+    Cells = std::make_shared<CellDispatcher>(Context, Quarantine->guard());
     Services.add<Dispatcher>(service_name::Dispatcher, Cells);
     Parts.push_back(Cells);
     return;
@@ -168,10 +183,29 @@
   Runner = std::make_shared<RequestRunner>(Context, Answers, Attempts);
   Front = std::make_shared<FrontEnd>(Context, Answers, Runner);
   Services.add<AdminRoutes>(service_name::Admin, Front);
-  Members->addRoutes(*Front);
-  std::make_shared<SettingsAdmin>(Context, Tree)->addRoutes(*Front);
+  Quarantine->onConviction([Weak = std::weak_ptr(Runner)] {
+    if (const auto Requests = Weak.lock())
+      Requests->refuseConvicted();
+  });
+  addOperatorCalls();
+}
+
+void RouterApp::State::addOperatorCalls() {
+  const auto Status = std::make_shared<StatusAdmin>(Context, Front, Tree);
+  Members->addRoutes(*Status);
+  Quarantine->addRoutes(*Status);
+  std::make_shared<SettingsAdmin>(Context, Tree)->addRoutes(*Status);
   if (Cells != nullptr)
-    Cells->addRoutes(*Front);
+    Cells->addRoutes(*Status);
+  Status->addRoutes(
+      [this] {
+        return RouterLoad{Runner->active(), StopRequests > 0};
+      },
+      [this] {
+        // A further request would end the router at once.
+        if (StopRequests == 0)
+          RequestStop();
+      });
 }
 
 Result<Success> RouterApp::start() {
