Give up a dead holder's answer without waiting for the members

Cause: a repeat whose holder was killed waited until the members declared the holder dead.

Change: five refused connections in a row to the holder end the fetch with the outcome unknown.

--- a/include/mallowglade/detail/router/answer_fetch.hpp
+++ b/include/mallowglade/detail/router/answer_fetch.hpp
@@ -31,6 +31,8 @@
   Ended,
   /// The connection ended or was silent; the fetch may be repeated.
   Interrupted,
+  /// No connection was made.
+  Unreachable,
   /// The other router has no such answer.
   Gone,
 };
--- a/include/mallowglade/detail/router/request_run.hpp
+++ b/include/mallowglade/detail/router/request_run.hpp
@@ -24,6 +24,8 @@
   /// Bytes of the holder's answer that were passed on.
   std::size_t Relayed = 0;
   std::uint32_t Fetches = 0;
+  /// Fetches in a row that made no connection to the holder.
+  std::uint32_t FailedConnects = 0;
 };
 
 } // namespace mallowglade
--- a/include/mallowglade/detail/router/request_runner.hpp
+++ b/include/mallowglade/detail/router/request_runner.hpp
@@ -13,6 +13,8 @@
 
 namespace mallowglade {
 
+struct FetchResult;
+
 /// @brief An accepted request.
 struct RouterRequest {
   RequestId Id;
@@ -59,6 +61,8 @@
   void attachElsewhere(const RunPointer &Current, const ClaimHeldBy &Held);
   void fetch(const RunPointer &Current, const ClaimHeldBy &Held,
              const std::string &Address);
+  void fetched(const RunPointer &Current, const ClaimHeldBy &Held,
+               const FetchResult &Result);
   void attachedEnded(const RunPointer &Current, const ClaimHeldBy &Held,
                      std::optional<Problem> Failure);
   void holderGone(const RunPointer &Current);
--- a/src/router/answer_fetch.cpp
+++ b/src/router/answer_fetch.cpp
@@ -99,7 +99,11 @@
   Cancellation.setAction([&Client] { Client.stop(); });
   const httplib::Result Reply = Client.send(Message);
   Cancellation.setAction(nullptr);
-  return Sink.end(static_cast<bool>(Reply));
+  FetchResult Result = Sink.end(static_cast<bool>(Reply));
+  if (!Reply && (Reply.error() == httplib::Error::Connection ||
+                 Reply.error() == httplib::Error::ConnectionTimeout))
+    Result.End = FetchEnd::Unreachable;
+  return Result;
 }
 
 } // namespace mallowglade
--- a/src/router/request_attach.cpp
+++ b/src/router/request_attach.cpp
@@ -10,6 +10,8 @@
 constexpr Milliseconds GoneRetryAfter{5'000};
 /// Fetches of one answer; each may end because the holder's connection breaks.
 constexpr std::uint32_t MaxFetches = 100;
+/// A caller does not wait until the members agree that the holder is dead.
+constexpr std::uint32_t MaxFailedConnects = 5;
 
 /// Copies a local answer until it has ended.
 std::optional<Problem> copyAnswer(const Answer &Source, Answer &Target) {
@@ -87,19 +89,28 @@
         fetchAnswer(Wanted, *Current->Target, Current->Cancellation);
     Self->Context.Control.post(
         [Self, Current, Held, Result = std::move(Result)] {
-          Current->Relayed = Result.Relayed;
-          if (Result.End == FetchEnd::Interrupted)
-            Self->Context.Control.postAfter(FetchPause, [Self, Current, Held] {
-              Self->attachTo(Current, Held);
-            });
-          else if (Result.End == FetchEnd::Gone)
-            Self->holderGone(Current);
-          else
-            Self->attachedEnded(Current, Held, Result.Failure);
+          Self->fetched(Current, Held, Result);
         });
   });
 }
 
+void RequestRunner::fetched(const RunPointer &Current, const ClaimHeldBy &Held,
+                            const FetchResult &Result) {
+  Current->Relayed = Result.Relayed;
+  const bool Unreachable = Result.End == FetchEnd::Unreachable;
+  Current->FailedConnects = Unreachable ? Current->FailedConnects + 1 : 0;
+  if (Result.End == FetchEnd::Ended)
+    attachedEnded(Current, Held, Result.Failure);
+  else if (Result.End == FetchEnd::Gone ||
+           Current->FailedConnects >= MaxFailedConnects)
+    holderGone(Current);
+  else
+    Context.Control.postAfter(FetchPause,
+                              [Self = shared_from_this(), Current, Held] {
+                                Self->attachTo(Current, Held);
+                              });
+}
+
 /// The verdict of the holder is the verdict of all requests with the key; an
 /// unconfirmed holder may have lost the key before it was found not to run.
 void RequestRunner::attachedEnded(const RunPointer &Current,
