Document every settings key and check the page against the parsers

Change: the parsers describe each key as they read it; unit-settings-reference compares this with the tables of docs/settings.md in both directions. Choices and optional addresses have their own reader functions.

--- a/include/mallowglade/detail/settings/instance_settings.hpp
+++ b/include/mallowglade/detail/settings/instance_settings.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <mallowglade/core.hpp>
+#include <mallowglade/detail/settings/json_reader.hpp>
 #include <mallowglade/detail/settings/tree.hpp>
 
 #include <cstdint>
@@ -61,7 +62,11 @@
 
 /// @brief Parses and checks the instance settings.
 /// @param Text JSON text
+/// @param Keys where the keys that are read are described, or null; those of
+///   the seed tree are left out
 /// @return the settings, or the first error with the path of its key
-Result<InstanceSettings> parseInstanceSettings(const std::string &Text);
+Result<InstanceSettings>
+parseInstanceSettings(const std::string &Text,
+                      std::vector<SettingsKey> *Keys = nullptr);
 
 } // namespace mallowglade
--- a/include/mallowglade/detail/settings/json_reader.hpp
+++ b/include/mallowglade/detail/settings/json_reader.hpp
@@ -11,6 +11,16 @@
 
 namespace mallowglade {
 
+/// @brief What a parser accepts under one key; source of docs/settings.md.
+struct SettingsKey {
+  /// Place with `.` between members, `<name>` for free names, `[]` for lists.
+  std::string Place;
+  /// Default value, `required`, or `-` for none.
+  std::string Default;
+  /// Bounds of a number, or the kind of value.
+  std::string Bounds;
+};
+
 /// @brief Reads the members of a JSON object and checks them.
 ///
 /// The first error is kept with the JSON pointer of the offending key; later
@@ -21,8 +31,10 @@
   /// @param Value JSON value that has to be an object
   /// @param Path JSON pointer of the value
   /// @param FirstError where the first error is kept
+  /// @param Keys where each key that is read is described, or null
   JsonReader(const nlohmann::json &Value, std::string Path,
-             std::optional<Error> &FirstError);
+             std::optional<Error> &FirstError,
+             std::vector<SettingsKey> *Keys = nullptr);
 
   /// @brief Reads a required string.
   std::string text(const std::string &Key);
@@ -44,6 +56,14 @@
   std::vector<std::string> textList(const std::string &Key);
   /// @brief Reads a required numeric address, `ip:port`.
   std::string address(const std::string &Key);
+  /// @brief Reads an optional numeric address, `ip:port`.
+  /// @param OtherKey key whose value is the default
+  /// @param Other value of the other key
+  std::string address(const std::string &Key, const std::string &OtherKey,
+                      const std::string &Other);
+  /// @brief Reads an optional word out of several; the first is the default.
+  std::string choice(const std::string &Key,
+                     const std::vector<std::string> &Allowed);
   /// @brief Reads an optional list of numeric addresses, `ip:port`.
   std::vector<std::string> addressList(const std::string &Key);
   /// @brief Reads an optional object; an absent one reads as empty.
@@ -68,6 +88,17 @@
   const std::string &path() const { return Path; }
 
 private:
+  JsonReader(const nlohmann::json &Value, std::string Path,
+             const JsonReader &Parent, std::string Place);
+  void describe(const std::string &Key, std::string Default,
+                std::string Bounds) const;
+  std::string placeOf(const std::string &Key) const;
+  std::string readText(const std::string &Key);
+  std::string readAddress(const std::string &Key);
+  std::int64_t readInteger(const std::string &Key, std::int64_t Min,
+                           std::int64_t Max);
+  double readNumber(const std::string &Key, double Min, double Max);
+  std::vector<std::string> readTextList(const std::string &Key);
   const nlohmann::json *find(const std::string &Key, bool Required);
   std::string pathOf(const std::string &Key) const;
 
@@ -75,6 +106,8 @@
   std::string Path;
   std::optional<Error> *FirstError;
   std::vector<std::string> Read;
+  std::vector<SettingsKey> *Keys;
+  std::string Place;
 };
 
 /// @brief Checks a numeric address; host names are rejected.
--- a/include/mallowglade/detail/settings/tree.hpp
+++ b/include/mallowglade/detail/settings/tree.hpp
@@ -11,6 +11,8 @@
 
 namespace mallowglade {
 
+struct SettingsKey;
+
 /// @brief Kind of the upstreams in a pool.
 enum class PoolKind { Model, Service };
 
@@ -91,9 +93,11 @@
 /// `operators`) and `teams` with one branch each (`workspaces`).
 /// @param Value JSON object
 /// @param Path JSON pointer of the object
+/// @param Keys where the keys that are read are described, or null
 /// @return the tree, or the first error with the path of its key
 Result<SettingsTree> parseTree(const nlohmann::json &Value,
-                               const std::string &Path);
+                               const std::string &Path,
+                               std::vector<SettingsKey> *Keys = nullptr);
 
 /// @brief Finds the workspace of a bearer key.
 /// @param Tree settings in force
--- a/src/settings/instance_settings.cpp
+++ b/src/settings/instance_settings.cpp
@@ -18,26 +18,12 @@
 constexpr std::int64_t MillisPerSecond = 1'000;
 constexpr std::size_t MinFleetKeyLength = 16;
 
-void checkOneOf(JsonReader &Reader, const std::string &Key,
-                const std::string &Value,
-                std::initializer_list<const char *> Allowed) {
-  std::string Names;
-  for (const char *Name : Allowed) {
-    if (Value == Name)
-      return;
-    Names += Names.empty() ? Name : std::string(", ") + Name;
-  }
-  Reader.fail(ErrorId::OutOfRange, Key, "one of " + Names + " is expected");
-}
-
 void readAddresses(JsonReader &Root, InstanceSettings &Settings) {
   Settings.Listen = Root.address("listen");
-  Settings.Advertise =
-      Root.has("advertise") ? Root.address("advertise") : Settings.Listen;
+  Settings.Advertise = Root.address("advertise", "listen", Settings.Listen);
   Settings.PeerListen = Root.address("peer_listen");
-  Settings.PeerAdvertise = Root.has("peer_advertise")
-                               ? Root.address("peer_advertise")
-                               : Settings.PeerListen;
+  Settings.PeerAdvertise =
+      Root.address("peer_advertise", "peer_listen", Settings.PeerListen);
   Settings.Zone = ZoneId(Root.text("availability_zone"));
   Settings.Region = Root.text("region", "");
   Settings.Seeds = Root.addressList("seeds");
@@ -87,30 +73,28 @@
 }
 
 void readLog(JsonReader Log, InstanceSettings &Settings) {
-  Settings.LogLevel = Log.text("level", "info");
-  checkOneOf(Log, "level", Settings.LogLevel,
-             {"debug", "info", "warning", "error"});
-  Settings.LogFormat = Log.text("format", "text");
-  checkOneOf(Log, "format", Settings.LogFormat, {"text", "json"});
+  Settings.LogLevel =
+      Log.choice("level", {"info", "debug", "warning", "error"});
+  Settings.LogFormat = Log.choice("format", {"text", "json"});
   Log.finish();
 }
 
 } // namespace
 
-Result<InstanceSettings> parseInstanceSettings(const std::string &Text) {
+Result<InstanceSettings> parseInstanceSettings(const std::string &Text,
+                                               std::vector<SettingsKey> *Keys) {
   Result<nlohmann::json> Document = parseJson(Text);
   if (!isOk(Document))
     return errorOf(Document);
   std::optional<Error> FirstError;
   InstanceSettings Settings;
-  JsonReader Root(valueOf(Document), "", FirstError);
+  JsonReader Root(valueOf(Document), "", FirstError, Keys);
   readAddresses(Root, Settings);
   readPlatform(Root.object("platform"), Settings);
   readSecurity(Root, Settings);
   readLimits(Root.object("limits"), Settings);
   readLog(Root.object("log"), Settings);
-  Settings.Policy = Root.text("policy", "cell");
-  checkOneOf(Root, "policy", Settings.Policy, {"cell", "split", "random"});
+  Settings.Policy = Root.choice("policy", {"cell", "split", "random"});
   Root.object("seed_tree");
   Root.finish();
   if (FirstError)
--- a/src/settings/json_reader.cpp
+++ b/src/settings/json_reader.cpp
@@ -83,8 +83,10 @@
 }
 
 JsonReader::JsonReader(const nlohmann::json &Value, std::string Path,
-                       std::optional<Error> &FirstError)
-    : Object(&Value), Path(std::move(Path)), FirstError(&FirstError) {
+                       std::optional<Error> &FirstError,
+                       std::vector<SettingsKey> *Keys)
+    : Object(&Value), Path(std::move(Path)), FirstError(&FirstError),
+      Keys(Keys) {
   if (Value.is_object())
     return;
   Object = &emptyObject();
@@ -92,6 +94,22 @@
     FirstError = Error{ErrorId::WrongType, "an object is expected", this->Path};
 }
 
+JsonReader::JsonReader(const nlohmann::json &Value, std::string Path,
+                       const JsonReader &Parent, std::string Place)
+    : JsonReader(Value, std::move(Path), *Parent.FirstError, Parent.Keys) {
+  this->Place = std::move(Place);
+}
+
+std::string JsonReader::placeOf(const std::string &Key) const {
+  return Place.empty() ? Key : Place + "." + Key;
+}
+
+void JsonReader::describe(const std::string &Key, std::string Default,
+                          std::string Bounds) const {
+  if (Keys != nullptr)
+    Keys->push_back({placeOf(Key), std::move(Default), std::move(Bounds)});
+}
+
 std::string JsonReader::pathOf(const std::string &Key) const {
   return Path + "/" + escapePointer(Key);
 }
@@ -117,6 +135,11 @@
 }
 
 std::string JsonReader::text(const std::string &Key) {
+  describe(Key, "required", "text");
+  return readText(Key);
+}
+
+std::string JsonReader::readText(const std::string &Key) {
   const nlohmann::json *Value = find(Key, true);
   if (Value == nullptr)
     return {};
@@ -128,11 +151,18 @@
 
 std::string JsonReader::text(const std::string &Key,
                              const std::string &Default) {
-  return has(Key) ? text(Key) : (Read.push_back(Key), Default);
+  describe(Key, Default.empty() ? "-" : Default, "text");
+  return has(Key) ? readText(Key) : (Read.push_back(Key), Default);
 }
 
 std::int64_t JsonReader::integer(const std::string &Key, std::int64_t Min,
                                  std::int64_t Max) {
+  describe(Key, "required", fmt::format("{} to {}", Min, Max));
+  return readInteger(Key, Min, Max);
+}
+
+std::int64_t JsonReader::readInteger(const std::string &Key, std::int64_t Min,
+                                     std::int64_t Max) {
   const nlohmann::json *Value = find(Key, true);
   if (Value == nullptr)
     return Min;
@@ -150,13 +180,19 @@
 
 std::int64_t JsonReader::integer(const std::string &Key, std::int64_t Min,
                                  std::int64_t Max, std::int64_t Default) {
+  describe(Key, std::to_string(Default), fmt::format("{} to {}", Min, Max));
   if (has(Key))
-    return integer(Key, Min, Max);
+    return readInteger(Key, Min, Max);
   Read.push_back(Key);
   return Default;
 }
 
 double JsonReader::number(const std::string &Key, double Min, double Max) {
+  describe(Key, "required", formatNumber(Min) + " to " + formatNumber(Max));
+  return readNumber(Key, Min, Max);
+}
+
+double JsonReader::readNumber(const std::string &Key, double Min, double Max) {
   const nlohmann::json *Value = find(Key, true);
   if (Value == nullptr)
     return Min;
@@ -174,13 +210,16 @@
 
 double JsonReader::number(const std::string &Key, double Min, double Max,
                           double Default) {
+  describe(Key, formatNumber(Default),
+           formatNumber(Min) + " to " + formatNumber(Max));
   if (has(Key))
-    return number(Key, Min, Max);
+    return readNumber(Key, Min, Max);
   Read.push_back(Key);
   return Default;
 }
 
 bool JsonReader::boolean(const std::string &Key, bool Default) {
+  describe(Key, Default ? "true" : "false", "true or false");
   const nlohmann::json *Value = find(Key, false);
   if (Value == nullptr)
     return Default;
@@ -191,6 +230,11 @@
 }
 
 std::vector<std::string> JsonReader::textList(const std::string &Key) {
+  describe(Key, "-", "list of text");
+  return readTextList(Key);
+}
+
+std::vector<std::string> JsonReader::readTextList(const std::string &Key) {
   const nlohmann::json *Value = find(Key, false);
   std::vector<std::string> Items;
   if (Value == nullptr)
@@ -209,7 +253,33 @@
 }
 
 std::string JsonReader::address(const std::string &Key) {
-  std::string Text = text(Key);
+  describe(Key, "required", "ip:port");
+  return readAddress(Key);
+}
+
+std::string JsonReader::address(const std::string &Key,
+                                const std::string &OtherKey,
+                                const std::string &Other) {
+  describe(Key, "as " + OtherKey, "ip:port");
+  return has(Key) ? readAddress(Key) : (Read.push_back(Key), Other);
+}
+
+std::string JsonReader::choice(const std::string &Key,
+                               const std::vector<std::string> &Allowed) {
+  const std::string Names = fmt::format("{}", fmt::join(Allowed, ", "));
+  describe(Key, Allowed.front(), "one of " + Names);
+  if (!has(Key)) {
+    Read.push_back(Key);
+    return Allowed.front();
+  }
+  std::string Value = readText(Key);
+  if (std::find(Allowed.begin(), Allowed.end(), Value) == Allowed.end())
+    fail(ErrorId::OutOfRange, Key, "one of " + Names + " is expected");
+  return Value;
+}
+
+std::string JsonReader::readAddress(const std::string &Key) {
+  std::string Text = readText(Key);
   if (!isNumericAddress(Text))
     fail(ErrorId::InvalidAddress, Key,
          "a numeric address ip:port is expected, not a host name");
@@ -217,7 +287,8 @@
 }
 
 std::vector<std::string> JsonReader::addressList(const std::string &Key) {
-  std::vector<std::string> Items = textList(Key);
+  describe(Key, "-", "list of ip:port");
+  std::vector<std::string> Items = readTextList(Key);
   for (const std::string &Item : Items)
     if (!isNumericAddress(Item))
       fail(ErrorId::InvalidAddress, Key,
@@ -227,7 +298,8 @@
 
 JsonReader JsonReader::object(const std::string &Key) {
   const nlohmann::json *Value = find(Key, false);
-  return {Value == nullptr ? emptyObject() : *Value, pathOf(Key), *FirstError};
+  return {Value == nullptr ? emptyObject() : *Value, pathOf(Key), *this,
+          placeOf(Key)};
 }
 
 std::vector<JsonReader> JsonReader::objectList(const std::string &Key) {
@@ -241,8 +313,9 @@
   }
   std::size_t Index = 0;
   for (const nlohmann::json &Item : *Value)
-    Items.emplace_back(Item, pathOf(Key) + "/" + std::to_string(Index++),
-                       *FirstError);
+    Items.push_back(JsonReader(Item,
+                               pathOf(Key) + "/" + std::to_string(Index++),
+                               *this, placeOf(Key) + "[]"));
   return Items;
 }
 
@@ -257,18 +330,20 @@
     return Items;
   }
   for (const auto &[Name, Item] : Value->items())
-    Items.emplace_back(
-        Name,
-        JsonReader(Item, pathOf(Key) + "/" + escapePointer(Name), *FirstError));
+    Items.emplace_back(Name,
+                       JsonReader(Item, pathOf(Key) + "/" + escapePointer(Name),
+                                  *this, placeOf(Key) + ".<name>"));
   return Items;
 }
 
 std::vector<std::pair<std::string, double>>
 JsonReader::numberMap(const std::string &Key, double Min, double Max) {
   std::vector<std::pair<std::string, double>> Items;
+  describe(Key + ".<name>", "required",
+           formatNumber(Min) + " to " + formatNumber(Max));
   JsonReader Map = object(Key);
   for (const auto &[Name, Item] : Map.Object->items())
-    Items.emplace_back(Name, Map.number(Name, Min, Max));
+    Items.emplace_back(Name, Map.readNumber(Name, Min, Max));
   return Items;
 }
 
--- a/src/settings/tree.cpp
+++ b/src/settings/tree.cpp
@@ -160,10 +160,11 @@
 } // namespace
 
 Result<SettingsTree> parseTree(const nlohmann::json &Value,
-                               const std::string &Path) {
+                               const std::string &Path,
+                               std::vector<SettingsKey> *Keys) {
   std::optional<Error> FirstError;
   SettingsTree Tree;
-  JsonReader Root(Value, Path, FirstError);
+  JsonReader Root(Value, Path, FirstError, Keys);
   parseTeams(Root, Tree);
   parsePlatform(Root.object("platform"), Tree);
   Root.finish();
--- /dev/null
+++ b/tests/unit-settings-reference.cpp
@@ -0,0 +1,85 @@
+#include <mallowglade/settings.hpp>
+
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <fmt/format.h>
+
+#include <fstream>
+#include <set>
+#include <sstream>
+
+using namespace mallowglade;
+
+namespace {
+
+/// Form of a table row up to the meaning, without the unit.
+std::string rowOf(const std::string &Place, const std::string &Default,
+                  const std::string &Bounds) {
+  return fmt::format("{} default {} bounds {}", Place, Default, Bounds);
+}
+
+std::vector<std::string> cellsOf(const std::string &Line) {
+  std::vector<std::string> Cells;
+  std::istringstream Stream(Line);
+  std::string Cell;
+  while (std::getline(Stream, Cell, '|')) {
+    const auto First = Cell.find_first_not_of(" `");
+    const auto Last = Cell.find_last_not_of(" `");
+    if (First != std::string::npos)
+      Cells.push_back(Cell.substr(First, Last - First + 1));
+  }
+  return Cells;
+}
+
+/// Rows with five cells are those of the key tables.
+std::set<std::string> documentedRows() {
+  std::ifstream Page(MALLOWGLADE_SOURCE_DIR "/docs/settings.md");
+  std::set<std::string> Rows;
+  std::string Line;
+  constexpr std::size_t KeyTableCells = 5;
+  while (std::getline(Page, Line)) {
+    const std::vector<std::string> Cells = cellsOf(Line);
+    const bool IsKey = Cells.size() == KeyTableCells && Cells[0] != "key" &&
+                       !Cells[0].starts_with("---");
+    if (IsKey)
+      Rows.insert(rowOf(Cells[0], Cells[2], Cells[3]));
+  }
+  return Rows;
+}
+
+std::set<std::string> rowsInCode() {
+  std::vector<SettingsKey> Keys;
+  parseInstanceSettings("{}", &Keys);
+  const nlohmann::json Sample = nlohmann::json::parse(R"({
+    "platform": {"pools": {"p": {}}, "routes": [{}], "operators": {"o": {}},
+                 "shares": {"w": 1}},
+    "teams": {"t": {"workspaces": {"w": {}}}}})");
+  parseTree(Sample, "", &Keys);
+  std::set<std::string> Rows;
+  for (const SettingsKey &Key : Keys)
+    Rows.insert(rowOf(Key.Place, Key.Default, Key.Bounds));
+  return Rows;
+}
+
+} // namespace
+
+class SettingsReferenceTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(SettingsReferenceTest);
+  CPPUNIT_TEST(pageNamesEveryKeyAsTheCodeHasIt);
+  CPPUNIT_TEST_SUITE_END();
+
+public:
+  // Guards against a page that names other keys, defaults or bounds than the
+  // parsers accept.
+  void pageNamesEveryKeyAsTheCodeHasIt() {
+    const std::set<std::string> Page = documentedRows();
+    const std::set<std::string> Code = rowsInCode();
+    for (const std::string &Row : Code)
+      CPPUNIT_ASSERT_MESSAGE("missing in docs/settings.md: " + Row,
+                             Page.contains(Row));
+    for (const std::string &Row : Page)
+      CPPUNIT_ASSERT_MESSAGE("not in the code: " + Row, Code.contains(Row));
+  }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(SettingsReferenceTest);
