Release quarantined requests from the command line

Cause: 'quarantine release' called an admin path that no part serves.

Change: it calls /admin/quarantine/release with the fingerprint. Exit code 3 is kept for settings; other malformed requests give code 1.

--- a/src/cli/admin_client.cpp
+++ b/src/cli/admin_client.cpp
@@ -59,9 +59,11 @@
 }
 
 ExitCode exitCodeOf(const AdminAnswer &Answer) {
-  if (memberText(Answer.Body, "error_id") == "settings.conflict")
+  const std::string Id = memberText(Answer.Body, "error_id");
+  if (Id == "settings.conflict")
     return ExitCode::Conflict;
-  return Answer.Status == 400 ? ExitCode::InvalidSettings : ExitCode::Failed;
+  return Id.starts_with("settings.") ? ExitCode::InvalidSettings
+                                     : ExitCode::Failed;
 }
 
 } // namespace
--- a/src/cli/operation_commands.cpp
+++ b/src/cli/operation_commands.cpp
@@ -60,8 +60,8 @@
       "FINGERPRINT", Parser.line());
   Parser.parse();
   ExitCode Code = ExitCode::Ok;
-  const auto Reply =
-      adminPost(Options, "/admin/quarantine", {{"release", Print.getValue()}});
+  const auto Reply = adminPost(Options, "/admin/quarantine/release",
+                               {{"fingerprint", Print.getValue()}});
   if (failed(Reply, Code))
     return Code;
   fmt::print("{} is released\n", Print.getValue());
