Test that a slow read cannot revert the settings

Cause: the simulated service answers at once, so no test had a read that ends after a peer delivered a later version; a replica without its version check passed all tests.

Change: a test with exactly this order of events.

Conclusion: the check that versions only rise is now guarded.

--- a/tests/unit-settings-replica.cpp
+++ b/tests/unit-settings-replica.cpp
@@ -74,6 +74,7 @@
   CPPUNIT_TEST(freshRouterAloneIsNotReadyDuringOutage);
   CPPUNIT_TEST(freshRouterIsNotReadyBelowAVersionItHeardOf);
   CPPUNIT_TEST(stalePeerIsIgnored);
+  CPPUNIT_TEST(lateReadDoesNotRevert);
   CPPUNIT_TEST(twoWatchersPerZone);
   CPPUNIT_TEST_SUITE_END();
 
@@ -195,6 +196,31 @@
     CPPUNIT_ASSERT(Fleet.Nodes[0].Replica->version() == SettingsVersion(2));
   }
 
+  // Guards against a slow read of the service that ends after a peer has
+  // delivered a later version.
+  void lateReadDoesNotRevert() {
+    SettingsFleet Fleet(3, 1, 1);
+    Fleet.commit();
+    Fleet.run(Milliseconds(5'000));
+    Fleet.Nodes[0].Partitioned = true;
+    Fleet.commit();
+    const SettingsSnapshot Slow = Fleet.Versions.back();
+    SettingsReplica &Replica = *Fleet.Nodes[0].Replica;
+    const KeyValue Head{settings_layout::HeadKey, encodeHead(Slow.Head),
+                        Revision(2)};
+    Replica.onHead(std::optional<KeyValue>(Head), Fleet.Now);
+    Fleet.commit();
+    Fleet.run(Milliseconds(5'000));
+    Replica.onPeerReply(SettingsFleet::idOf(1),
+                        Fleet.Nodes[1].Replica->answer({}), Fleet.Now);
+    CPPUNIT_ASSERT(Replica.version() == SettingsVersion(3));
+    std::vector<KeyValue> Packs;
+    for (const auto &[Number, Pack] : Slow.Packs)
+      Packs.push_back({packKey(Number), encodePack(Pack), {}});
+    Replica.onPacks(Packs, Fleet.Now);
+    CPPUNIT_ASSERT(Replica.version() == SettingsVersion(3));
+  }
+
   void twoWatchersPerZone() {
     SettingsFleet Fleet(24, 3, 1);
     Fleet.run(Milliseconds(2'000));
