Bound incomplete peer messages and take them out before handling

Cause: a sender without the fleet key could make a router keep up to 8 MB of incomplete messages on each of 512 connections. A handler that closed the connection would have freed the message that was being handled.

Change: incomplete messages of all connections together are limited to 16 MB; a complete message leaves the table before it is handled.

Conclusion: memory for unauthenticated senders is bounded.

--- a/include/mallowglade/detail/transport/http2_connection.hpp
+++ b/include/mallowglade/detail/transport/http2_connection.hpp
@@ -26,6 +26,8 @@
   Http2PeersOptions Options;
   MessageSeal Seal;
   PeerTraffic Traffic;
+  /// Bytes of incomplete incoming messages.
+  std::size_t IncomingBytes = 0;
   std::map<std::string, PeerNetwork::Handler, std::less<>> Handlers;
   /// One buffer for all connections, since only one is read at a time.
   std::array<std::uint8_t, 16'384> ReadBuffer{};
--- a/include/mallowglade/detail/transport/http2_peers.hpp
+++ b/include/mallowglade/detail/transport/http2_peers.hpp
@@ -31,6 +31,9 @@
   /// Most bytes waiting or unanswered per peer; beyond it the oldest waiting
   /// messages are dropped.
   std::size_t MaxQueuedBytes = 8U << 20U;
+  /// Most bytes of incomplete incoming messages on all connections together;
+  /// their senders are not authenticated yet.
+  std::size_t MaxIncomingBytes = 16U << 20U;
   /// Time between PINGs while a connection is in use.
   Milliseconds PingPeriod{1'000};
   /// A connection without an answer to a PING for this long is closed.
--- a/include/mallowglade/detail/transport/incoming_connection.hpp
+++ b/include/mallowglade/detail/transport/incoming_connection.hpp
@@ -22,7 +22,6 @@
     std::string Start;
     std::string Sealed;
     bool TooLarge = false;
-    bool Answered = false;
   };
 
   bool maySendLater() const override { return true; }
@@ -34,13 +33,14 @@
   void onFrame(const nghttp2_frame &Frame) override;
   void onStreamClosed(std::int32_t Stream) override;
   void complete(std::int32_t Stream, Request &Received);
+  /// Frees what was received of a message.
+  void discard(Request &Received);
   /// Checks and delivers a message; returns the status of the reply.
   std::string_view deliver(const Request &Received);
   void reply(std::int32_t Stream, std::string_view Status);
 
   std::function<void()> Ended;
   std::map<std::int32_t, Request> Requests;
-  std::size_t BufferedBytes = 0;
   /// Replies submitted since the last flush, and when the first one was.
   std::size_t WaitingReplies = 0;
   TimePoint FirstReply;
--- a/src/transport/incoming_connection.cpp
+++ b/src/transport/incoming_connection.cpp
@@ -39,6 +39,8 @@
 }
 
 void IncomingConnection::onClosed() {
+  for (auto &[Stream, Received] : Requests)
+    discard(Received);
   Requests.clear();
   const auto Self = shared_from_this();
   if (const auto Callback = std::exchange(Ended, nullptr))
@@ -67,18 +69,23 @@
   Request &Received = Found->second;
   const auto &Options = Shared->Options;
   const std::size_t Size = Received.Sealed.size() + Bytes.size();
+  const std::size_t Total = Shared->IncomingBytes + Bytes.size();
   const bool Fits = Size <= Options.MaxMessageBytes + SealBytes &&
-                    BufferedBytes + Bytes.size() <= Options.MaxQueuedBytes;
+                    Total <= Options.MaxIncomingBytes;
   if (Fits) {
     Received.Sealed += Bytes;
-    BufferedBytes += Bytes.size();
+    Shared->IncomingBytes = Total;
     return;
   }
-  BufferedBytes -= Received.Sealed.size();
-  Received.Sealed = {};
+  discard(Received);
   Received.TooLarge = true;
 }
 
+void IncomingConnection::discard(Request &Received) {
+  Shared->IncomingBytes -= Received.Sealed.size();
+  Received.Sealed = {};
+}
+
 void IncomingConnection::onFrame(const nghttp2_frame &Frame) {
   const bool Message =
       Frame.hd.type == NGHTTP2_HEADERS || Frame.hd.type == NGHTTP2_DATA;
@@ -89,17 +96,19 @@
   if (!Message || !End)
     return;
   const auto Found = Requests.find(Frame.hd.stream_id);
-  if (Found != Requests.end() && !Found->second.Answered)
-    complete(Frame.hd.stream_id, Found->second);
+  if (Found == Requests.end())
+    return;
+  // Taken out first: a handler may close this connection.
+  Request Received = std::move(Found->second);
+  Requests.erase(Found);
+  complete(Frame.hd.stream_id, Received);
 }
 
 void IncomingConnection::complete(std::int32_t Stream, Request &Received) {
-  Received.Answered = true;
   const std::string_view Status = deliver(Received);
   if (Status != "204")
     ++Shared->Traffic.MessagesRejected;
-  BufferedBytes -= Received.Sealed.size();
-  Received.Sealed = {};
+  discard(Received);
   if (!closed())
     reply(Stream, Status);
 }
@@ -144,7 +153,7 @@
   const auto Found = Requests.find(Stream);
   if (Found == Requests.end())
     return;
-  BufferedBytes -= Found->second.Sealed.size();
+  discard(Found->second);
   Requests.erase(Found);
 }
 
--- a/tests/unit-peers.cpp
+++ b/tests/unit-peers.cpp
@@ -45,6 +45,7 @@
   CPPUNIT_TEST(unknownTypeIsRejected);
   CPPUNIT_TEST(largeMessageArrivesWhole);
   CPPUNIT_TEST(tooLargeMessageIsNotSent);
+  CPPUNIT_TEST(incompleteMessagesAreBounded);
   CPPUNIT_TEST(peerThatStartsLateIsReached);
   CPPUNIT_TEST(restartedPeerIsReached);
   CPPUNIT_TEST(silentPeerIsDisconnected);
@@ -146,6 +147,23 @@
     CPPUNIT_ASSERT_EQUAL(std::size_t(1), Right->Received.size());
   }
 
+  // Guards against memory that peers without the fleet key can fill, and
+  // against a limit that stays used up afterwards.
+  void incompleteMessagesAreBounded() {
+    auto Options = optionsOf(freeAddress());
+    Options.MaxIncomingBytes = 100'000;
+    Node Receiver(Context, Time, Options);
+    start(Receiver);
+    start(*Left);
+    Left->Peers.send(Receiver.Id, "text", std::string(200'000, 'x'));
+    CPPUNIT_ASSERT(runUntil([&Receiver] {
+      return Receiver.Peers.traffic().MessagesRejected == 1;
+    }));
+    Left->Peers.send(Receiver.Id, "text", std::string(90'000, 'x'));
+    CPPUNIT_ASSERT(
+        runUntil([&Receiver] { return Receiver.Received.size() == 1; }));
+  }
+
   // Guards against messages that are dropped while a peer is about to listen.
   void peerThatStartsLateIsReached() {
     start(*Left);
