Count routers that joined while registrations could not be read

Cause: with the key-value service down, a router that had joined after the last read and then fell silent left n at once. In a partition both sides would have used the replicas in full. Seen in a trial with 4 real routers: n fell to 3 together with the kill, while the service was down.

Change: members that answer count as registered until the registrations are read again.

Conclusion: an outage can make n too high, never too low.

--- a/include/mallowglade/detail/membership/registered_routers.hpp
+++ b/include/mallowglade/detail/membership/registered_routers.hpp
@@ -21,6 +21,9 @@
 public:
   /// @brief Replaces the registrations; an outage keeps the last known ones.
   void setRegistrations(std::set<RouterId> Routers);
+  /// @brief Takes members that answer as registered until the registrations
+  ///   are read again: they may have joined while those could not be read.
+  void noteHeard(const std::vector<RouterId> &Routers);
   /// @brief Replaces the routers of the instance list that are not leaving.
   void setListed(std::set<RouterId> Routers);
   /// @brief Counts the routers.
--- a/src/membership/registered_routers.cpp
+++ b/src/membership/registered_routers.cpp
@@ -12,6 +12,10 @@
       Dropped, [this](const RouterId &Id) { return !Registered.contains(Id); });
 }
 
+void RegisteredRouters::noteHeard(const std::vector<RouterId> &Routers) {
+  Registered.insert(Routers.begin(), Routers.end());
+}
+
 void RegisteredRouters::setListed(std::set<RouterId> Routers) {
   for (const RouterId &Id : Listed)
     if (!Routers.contains(Id) && Registered.contains(Id))
--- a/src/router/gossip_member_service.cpp
+++ b/src/router/gossip_member_service.cpp
@@ -178,6 +178,7 @@
     Live.push_back(toMember(Record));
     Heard.push_back(Record.Id);
   }
+  Known.noteHeard(Heard);
   Registered = Known.count(Heard, Detector.left());
   Registration->setFleetSize(Registered);
 }
--- a/tests/unit-membership.cpp
+++ b/tests/unit-membership.cpp
@@ -298,6 +298,7 @@
   CPPUNIT_TEST(updatesAreSentALimitedNumberOfTimes);
   CPPUNIT_TEST(listedRouterCountsWithoutRegistration);
   CPPUNIT_TEST(droppedAndLeftRoutersDoNotCount);
+  CPPUNIT_TEST(routerThatJoinedDuringAnOutageCounts);
   CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -369,6 +370,18 @@
     CPPUNIT_ASSERT_EQUAL(std::size_t(4), Known.count(Both, {}));
   }
 
+  // Guards against both sides of a partition using a replica in full when
+  // routers joined while the key-value service was down.
+  void routerThatJoinedDuringAnOutageCounts() {
+    RegisteredRouters Known;
+    Known.setRegistrations(idsOf({0}));
+    Known.noteHeard({Network::idOf(0), Network::idOf(1)});
+    const std::vector<RouterId> Heard{Network::idOf(0)};
+    CPPUNIT_ASSERT_EQUAL(std::size_t(2), Known.count(Heard, {}));
+    Known.setRegistrations(idsOf({0}));
+    CPPUNIT_ASSERT_EQUAL(std::size_t(1), Known.count(Heard, {}));
+  }
+
 private:
   static MemberMessage exampleMessage() {
     MemberMessage Message;
