Tell a cut connection from a crashed upstream

Cause: two cuts of a connection convicted a harmless stream, and a request that the only upstream refused with Retry-After waited in the queue instead of getting its answer. Both made integration-upstreams fail (2 of 9 tests).

Change: after a lost connection the upstream is probed; the first cut of a fingerprint on a router is not reported as a crash if the upstream serves on. A refused request is not repeated when no upstream of its pool takes work.

Conclusion: upstreams that replace crashed workers without refusing connections allow one more crash for each router.

--- a/include/mallowglade/detail/router/request_runner.hpp
+++ b/include/mallowglade/detail/router/request_runner.hpp
@@ -7,6 +7,7 @@
 #include <mallowglade/scheduling.hpp>
 
 #include <atomic>
+#include <map>
 #include <memory>
 #include <optional>
 #include <set>
@@ -52,6 +53,13 @@
 
 private:
   struct Run;
+  struct AttemptOutcome {
+    AttemptEnd End = AttemptEnd::Answered;
+    /// The connection was lost, but the upstream accepts new ones.
+    bool Cut = false;
+    /// The next attempt needs no retry budget.
+    bool Free = false;
+  };
   using RunPointer = std::shared_ptr<Run>;
 
   void claim(const RunPointer &Current);
@@ -71,7 +79,10 @@
   void dispatch(const RunPointer &Current, const Assignment &Where);
   void runAttempt(const RunPointer &Current, const Assignment &Where);
   void attemptEnded(const RunPointer &Current, const Assignment &Where,
-                    AttemptEnd End, const AttemptProgress &Progress, bool Free);
+                    const AttemptOutcome &Outcome,
+                    const AttemptProgress &Progress);
+  AttemptEnd reportedEnd(const RunPointer &Current,
+                         const AttemptOutcome &Outcome);
   void failAttempt(const RunPointer &Current, AttemptEnd End, bool Free);
   void settle(const RunPointer &Current, Verdict Outcome);
   void abort(const RunPointer &Current);
@@ -84,6 +95,8 @@
   /// Requests that have not ended; control thread only.
   std::set<RunPointer> Runs;
   RetryBudget Budget;
+  /// Fingerprints whose connection was cut lately, with the time.
+  std::map<Fingerprint, TimePoint> RecentCuts;
   bool Aborted = false;
 };
 
--- a/src/platform/tcp_probe.cpp
+++ b/src/platform/tcp_probe.cpp
@@ -2,6 +2,7 @@
 
 #include <mallowglade/settings.hpp>
 
+#include <asio/buffer.hpp>
 #include <asio/io_context.hpp>
 #include <asio/ip/tcp.hpp>
 
@@ -23,4 +24,30 @@
   return Connected;
 }
 
+bool keepsTcpOpen(const std::string &Address, Milliseconds Limit,
+                  Milliseconds Hold) {
+  const HostPort Target = splitAddress(Address);
+  asio::error_code Failure;
+  const auto Host = asio::ip::make_address(Target.Host, Failure);
+  if (Failure)
+    return false;
+  asio::io_context Context(1);
+  asio::ip::tcp::socket Socket(Context);
+  bool Connected = false;
+  Socket.async_connect(
+      asio::ip::tcp::endpoint(Host, Target.Port),
+      [&Connected](const asio::error_code &Outcome) { Connected = !Outcome; });
+  Context.run_for(Limit);
+  if (!Connected)
+    return false;
+  bool Closed = false;
+  char Byte = 0;
+  Socket.async_read_some(
+      asio::buffer(&Byte, 1),
+      [&Closed](const asio::error_code &, std::size_t) { Closed = true; });
+  Context.restart();
+  Context.run_for(Hold);
+  return !Closed;
+}
+
 } // namespace mallowglade::detail
--- a/src/router/attempt_run.cpp
+++ b/src/router/attempt_run.cpp
@@ -13,6 +13,7 @@
 constexpr Milliseconds ConnectTimeout{1'000};
 constexpr Milliseconds ProgressPeriod{250};
 constexpr Milliseconds ProbeTimeout{500};
+constexpr Milliseconds ProbeHold{100};
 constexpr int ServerErrorStatus = 500;
 
 /// Passes the bytes of one attempt on to the answer.
@@ -100,8 +101,10 @@
   // A new connection tells a silent connection from an upstream that is gone.
   const bool Gone = End == AttemptEnd::Silent &&
                     !detail::acceptsTcp(Where.Address, ProbeTimeout);
+  const bool Cut = End == AttemptEnd::ConnectionLost &&
+                   detail::keepsTcpOpen(Where.Address, ProbeTimeout, ProbeHold);
   Context.Control.post([Self = shared_from_this(), Current, Where, End, Gone,
-                        Head = Sink.head(), Progress = Meter.progress()] {
+                        Cut, Head = Sink.head(), Progress = Meter.progress()] {
     const auto Upstreams =
         Self->Context.Services.find<UpstreamDirectory>(service_name::Upstreams);
     if (Head.Leaving)
@@ -114,7 +117,7 @@
     const bool Free = End == AttemptEnd::ConnectFailed ||
                       (End == AttemptEnd::Refused &&
                        (Head.Leaving || Head.RetryAfterSeconds > 0));
-    Self->attemptEnded(Current, Where, End, Progress, Free);
+    Self->attemptEnded(Current, Where, {End, Cut, Free}, Progress);
   });
 }
 
--- a/src/router/request_runner.cpp
+++ b/src/router/request_runner.cpp
@@ -2,12 +2,14 @@
 
 #include <mallowglade/detail/router/attempt_meter.hpp>
 #include <mallowglade/detail/router/quarantine_service.hpp>
+#include <mallowglade/detail/router/upstream_directory.hpp>
 
 namespace mallowglade {
 
 namespace {
 
 constexpr std::uint32_t MaxAttempts = 4;
+constexpr std::chrono::minutes CutMemory{10};
 constexpr Milliseconds DefaultRetryAfter{1'000};
 constexpr std::size_t PrefixBytes = 1'024;
 
@@ -179,11 +181,29 @@
   });
 }
 
+/// The first cut connection of a request counts as a network fault if the
+/// upstream serves on; a second one may be the request's doing, for example
+/// where an upstream replaces its crashed worker process.
+AttemptEnd RequestRunner::reportedEnd(const RunPointer &Current,
+                                      const AttemptOutcome &Outcome) {
+  if (!Outcome.Cut)
+    return Outcome.End;
+  const TimePoint Now = Context.Time.now();
+  std::erase_if(RecentCuts, [Now](const auto &Item) {
+    return Item.second + CutMemory <= Now;
+  });
+  const bool First = RecentCuts.emplace(Current->Print, Now).second;
+  return First ? AttemptEnd::Silent : Outcome.End;
+}
+
 void RequestRunner::attemptEnded(const RunPointer &Current,
-                                 const Assignment &Where, AttemptEnd End,
-                                 const AttemptProgress &Progress, bool Free) {
+                                 const Assignment &Where,
+                                 const AttemptOutcome &Outcome,
+                                 const AttemptProgress &Progress) {
+  const AttemptEnd End = Outcome.End;
   Context.Services.find<Dispatcher>(service_name::Dispatcher)
-      ->finish(Current->Request.Id, Where, End, Progress);
+      ->finish(Current->Request.Id, Where, reportedEnd(Current, Outcome),
+               Progress);
   Context.Measures.count("mallowglade_attempts_total",
                          {{"pool", Current->Request.Pool.Id.Value},
                           {"end", std::to_string(static_cast<int>(End))}});
@@ -195,14 +215,20 @@
     return;
   }
   Current->Avoid.push_back(Where.Upstream);
-  failAttempt(Current, End, Free);
+  failAttempt(Current, End, Outcome.Free);
 }
 
 /// An attempt that did not reach its upstream, or met one that takes no more
 /// work, is repeated without the retry budget: it puts no load on upstreams.
 void RequestRunner::failAttempt(const RunPointer &Current, AttemptEnd End,
                                 bool Free) {
-  Current->History.BudgetLeft = Free || Budget.takeRetry();
+  // A request does not wait until the last upstream takes work again.
+  const bool NobodyLeft =
+      End == AttemptEnd::Refused &&
+      Context.Services.find<UpstreamDirectory>(service_name::Upstreams)
+          ->available(Current->Request.Pool.Id)
+          .empty();
+  Current->History.BudgetLeft = !NobodyLeft && (Free || Budget.takeRetry());
   const NextStep Next = decideNextStep(Current->History, failureOf(End));
   Context.Log.warning("attempt failed",
                       {{"request_id", Current->Request.Id.Value},
