--- a/src/router/attempt_run.cpp
+++ b/src/router/attempt_run.cpp
@@ -6,8 +6,6 @@
 
 #include <nlohmann/json.hpp>
 
-#include <thread>
-
 namespace mallowglade {
 
 namespace {
@@ -15,8 +13,8 @@
 constexpr Milliseconds ConnectTimeout{1'000};
 constexpr Milliseconds ProgressPeriod{250};
 constexpr Milliseconds ProbeTimeout{500};
-/// The sockets of a process that crashes do not all close at once.
-constexpr Milliseconds CrashSettleTime{20};
+/// A proxy before an upstream that is gone accepts a connection and closes it.
+constexpr Milliseconds ProbeHold{100};
 constexpr int ServerErrorStatus = 500;
 
 /// Passes the bytes of one attempt on to the answer.
@@ -71,16 +69,6 @@
   std::string Whole;
 };
 
-/// A new connection tells an upstream that is gone from a connection that was
-/// cut or went silent.
-bool isGone(AttemptEnd End, const std::string &Address) {
-  if (End == AttemptEnd::ConnectionLost)
-    std::this_thread::sleep_for(CrashSettleTime);
-  else if (End != AttemptEnd::Silent)
-    return End == AttemptEnd::ConnectFailed;
-  return !detail::acceptsTcp(Address, ProbeTimeout);
-}
-
 } // namespace
 
 void RequestRunner::runAttempt(const RunPointer &Current,
@@ -111,13 +99,19 @@
                                       {ConnectTimeout, Request.Pool.GapLimit},
                                       Receiver, &Current->Cancellation);
   AttemptEnd End = Sink.end(Raw);
-  const bool Gone = isGone(End, Where.Address);
-  // An upstream that went silent before it was gone may have lost its network;
-  // its requests are no suspects.
-  if (Gone && End == AttemptEnd::ConnectionLost)
+  // A new connection tells an upstream that is gone from a connection that was
+  // cut or went silent. One that went silent before it was gone may have lost
+  // its network; its requests are no suspects.
+  const bool Cut = End == AttemptEnd::ConnectionLost &&
+                   detail::keepsTcpOpen(Where.Address, ProbeTimeout, ProbeHold);
+  if (End == AttemptEnd::ConnectionLost && !Cut)
     End = AttemptEnd::UpstreamCrashed;
+  const bool Unreachable = End == AttemptEnd::Silent &&
+                           !detail::acceptsTcp(Where.Address, ProbeTimeout);
+  const bool Gone = Unreachable || End == AttemptEnd::ConnectFailed ||
+                    End == AttemptEnd::UpstreamCrashed;
   Context.Control.post([Self = shared_from_this(), Current, Where, End, Gone,
-                        Head = Sink.head(), Progress = Meter.progress()] {
+                        Cut, Head = Sink.head(), Progress = Meter.progress()] {
     const auto Upstreams =
         Self->Context.Services.find<UpstreamDirectory>(service_name::Upstreams);
     if (Head.Leaving)
@@ -130,7 +124,7 @@
     const bool Free = End == AttemptEnd::ConnectFailed ||
                       (End == AttemptEnd::Refused &&
                        (Head.Leaving || Head.RetryAfterSeconds > 0));
-    Self->attemptEnded(Current, Where, End, Progress, Free);
+    Self->attemptEnded(Current, Where, {End, Cut, Free}, Progress);
   });
 }
 
