Report less progress, keep slots usable while a router is dead

While a dead router was still registered, the cautious reading of load reports made slots idle in turns.

Change: a request that outgrows its charge is charged a quarter ahead, and the router reports it only when it outgrows that, while it is new and each 2 s. Slots of routers that are not heard are kept as an explicit count that load reports can only lower.

Several cells per pool, ServiceUpdate and SlotLoan are not built.

--- a/include/mallowglade/detail/scheduling/cell.hpp
+++ b/include/mallowglade/detail/scheduling/cell.hpp
@@ -179,6 +179,7 @@
                std::vector<CellAction> &Actions);
   void issue(WorkspaceEntry &Entry, RouterEntry &To, const QueuedItem &Item,
              Replica &Where, TimePoint Now, std::vector<CellAction> &Actions);
+  Grant messageOf(GrantId Id, const Issued &Granted) const;
   double estimate(const WorkspaceEntry &Entry, double Hint) const;
   bool allReported(TimePoint Now) const;
   void finishRebuild();
--- a/include/mallowglade/detail/scheduling/demand_book.hpp
+++ b/include/mallowglade/detail/scheduling/demand_book.hpp
@@ -84,7 +84,7 @@
   std::vector<RefusedRequest> expire(TimePoint Now);
   /// @return the report to send now, if one is due
   std::optional<DemandReport> report(TimePoint Now);
-  /// @return the progress of all running grants, if due
+  /// @return the progress of running grants with news, if due
   std::optional<Progress> progressReport(TimePoint Now);
   /// @return requests that wait
   std::size_t queued() const { return Where.size(); }
@@ -113,6 +113,10 @@
     UpstreamId Upstream;
     Fingerprint Print;
     double Hint = 0;
+    /// What the cell has charged, as far as this router knows.
+    ServiceUnits Charge;
+    TimePoint Started;
+    std::optional<TimePoint> ToldAt;
     GrantProgress State;
   };
   struct EndedGrant {
@@ -123,7 +127,8 @@
   double fractionOf(const WorkspaceBook &Book, TimePoint Now) const;
   std::optional<RefusedRequest>
   checkLimits(WorkspaceBook &Book, const BookRequest &Request, TimePoint Now);
-  GrantOutcome accept(const Grant &Offer, WorkspaceBook &Book);
+  GrantOutcome accept(const Grant &Offer, WorkspaceBook &Book, TimePoint Now);
+  static bool hasNews(const Running &Entry, TimePoint Now);
   bool fresh(std::uint64_t Basis, TimePoint Now) const;
   bool fullDue(TimePoint Now) const;
   bool deltaDue(TimePoint Now) const;
--- a/include/mallowglade/detail/scheduling/fair_queue.hpp
+++ b/include/mallowglade/detail/scheduling/fair_queue.hpp
@@ -41,8 +41,6 @@
   double Unserved = 0;
   /// Units served in this cell.
   double Served = 0;
-  /// Part of `Served` that other cells already know.
-  double ServedTold = 0;
   /// Actual cost divided by hint, weighted over recent requests.
   double Correction = 1;
   /// Lag reported by routers after a change of the cell's owner.
--- a/include/mallowglade/detail/scheduling/messages.hpp
+++ b/include/mallowglade/detail/scheduling/messages.hpp
@@ -93,8 +93,21 @@
   UpstreamId Upstream;
   /// Address of the upstream, `ip:port`.
   std::string Address;
+  /// Service charged in advance; progress below it need not be told.
+  ServiceUnits Charge;
 };
 
+/// @brief Charge of a running grant whose service exceeds what was charged.
+///
+/// Charging a quarter ahead lets the router tell its service a few times per
+/// request instead of every 250 ms.
+/// @param Served service so far
+/// @return the new charge
+inline ServiceUnits chargeAhead(ServiceUnits Served) {
+  constexpr double AheadFactor = 1.25;
+  return ServiceUnits(Served.Value * AheadFactor);
+}
+
 /// @brief Why a router gives a grant back.
 enum class ReturnReason : std::uint8_t { WrongEpoch, Expired, NoRequest };
 
@@ -113,7 +126,7 @@
   std::optional<Milliseconds> InterToken;
 };
 
-/// @brief State of all running grants of a router.
+/// @brief State of the running grants of a router that have news.
 struct Progress {
   CellId Cell;
   Epoch Session;
@@ -142,30 +155,4 @@
   std::vector<WorkspaceAllotment> Workspaces;
 };
 
-/// @brief Service of one workspace that another cell gave.
-struct ServiceDelta {
-  WorkspaceId Workspace;
-  ServiceUnits Served;
-};
-
-/// @brief Service given by one cell since it started, changes only.
-struct ServiceUpdate {
-  CellId From;
-  /// Tells runs of the sending cell apart.
-  std::uint32_t OwnerTag = 0;
-  /// Cumulative values of the workspaces that changed.
-  std::vector<ServiceDelta> Workspaces;
-};
-
-/// @brief Slots of a cell without demand, for another one.
-struct SlotLoan {
-  CellId From;
-  CellId To;
-  std::uint64_t Sequence = 0;
-  UpstreamId Upstream;
-  std::string Address;
-  std::uint32_t Slots = 0;
-  Milliseconds Life{};
-};
-
 } // namespace mallowglade
--- a/include/mallowglade/detail/scheduling/replica_table.hpp
+++ b/include/mallowglade/detail/scheduling/replica_table.hpp
@@ -30,6 +30,8 @@
   /// @brief Applies the partition rule to a limit.
   /// @return k/n of the limit; rounded up with a majority, else down
   std::uint32_t of(std::uint32_t Limit) const;
+  /// @return true if all registered routers are heard
+  bool whole() const { return Heard >= Registered; }
   /// @return true if more than half of the routers are heard
   bool majority() const { return 2 * Heard > Registered; }
 };
@@ -52,6 +54,12 @@
   /// in which a slot changes hands.
   std::uint32_t RecentReport = 0;
   std::uint32_t PreviousReport = 0;
+  /// Slots that routers outside the heard part may still hold. Only falls
+  /// until the next change of the part: the other side grants no more than
+  /// its part, so requests that ended leave room for good.
+  std::uint32_t Lost = 0;
+  /// `Lost` follows from the first load report.
+  bool LostUnknown = false;
   /// Adjustment periods since the replica was first listed.
   std::uint32_t Periods = 0;
   bool Gone = false;
@@ -59,10 +67,10 @@
   std::unordered_map<std::uint64_t, TimePoint> Prefixes;
 
   /// @brief Estimates how many requests of others run on the replica.
-  /// @param Part part of the fleet that the cell hears. While some routers are
-  ///   not heard the estimate is high, so that the limit holds; otherwise it
-  ///   is low, so that no slot idles because a report lags.
+  /// @param Part part of the fleet that the cell hears
   std::uint32_t foreign(const FleetPart &Part) const;
+  /// @brief Lowers `Lost` as far as the load reports show.
+  void settleLost();
   /// @return most requests that this cell may have on the replica now
   std::uint32_t usable(const FleetPart &Part) const;
 };
@@ -77,7 +85,7 @@
   /// @brief Takes the current list; a missing replica gets no new work.
   void update(const std::vector<ReplicaInfo> &List);
   /// @brief Sets the part of each limit that this cell may use.
-  void setPart(const FleetPart &Updated) { Part = Updated; }
+  void setPart(const FleetPart &Updated);
   /// @return part of each limit that this cell may use
   const FleetPart &part() const { return Part; }
   /// @brief Chooses a replica: prefix affinity, then load, then zone.
@@ -93,15 +101,15 @@
   void adopt(const UpstreamId &Where);
   /// @brief Frees a slot.
   void release(const UpstreamId &Where);
-  /// @brief Lets the load report count at once, without allowance for lag.
-  ///
-  /// To be called after slots of a dead router were freed: it may live behind
-  /// a partition, and then its requests still run.
-  void trustReport(const UpstreamId &Where);
+  /// @brief Counts a freed slot of a dead router as possibly in use: the
+  /// router may live behind a partition, and then its request still runs.
+  void markLost(const UpstreamId &Where);
+  /// @brief Estimates `Lost` for a new owner that hears a part of the fleet.
+  void assumeLost();
   /// @brief Takes token times.
   void sample(const UpstreamId &Where, std::optional<Milliseconds> FirstToken,
               std::optional<Milliseconds> InterToken);
-  /// @brief Adjusts the limits; to be called often.
+  /// @brief Adjusts the limits; to be called after each round of grants.
   void adjust(TimePoint Now);
   /// @brief Notes that work waits: full replicas count as saturated.
   void markSaturated();
@@ -117,10 +125,13 @@
 private:
   bool better(const Replica &Left, const Replica &Right, const QueuedItem &Item,
               const ZoneId &Near) const;
+  void assumeLost(Replica &Known) const;
   LimitSettings limitsOf(const ReplicaInfo &Info) const;
 
   LimitSettings Settings;
   FleetPart Part;
+  /// Replicas listed from now on may be in use by routers that are not heard.
+  bool AssumeLost = false;
   std::map<UpstreamId, Replica> Replicas;
   std::optional<TimePoint> LastWindow;
 };
--- a/src/scheduling/cell.cpp
+++ b/src/scheduling/cell.cpp
@@ -106,7 +106,6 @@
   expireGrants(Now);
   dropSilent(Now);
   repeatGrants(Now, Actions);
-  Replicas.adjust(Now);
   addPart(Now);
   askForReports(Actions);
   if (ready(Now)) {
@@ -114,6 +113,7 @@
     while (grantOne(Now, Actions)) {
     }
   }
+  Replicas.adjust(Now);
   allot(Now, Actions);
   return Actions;
 }
@@ -122,6 +122,7 @@
   if (Rebuilt)
     return;
   Rebuilt = true;
+  Replicas.assumeLost();
   // Nothing was charged so far, so that all virtual times are equal. The lags
   // that the former owner told the routers restore their differences.
   for (auto &[Id, Entry] : Queue.all())
@@ -193,10 +194,21 @@
   ++Entry.InFlight;
   setCharge(Granted, estimate(Entry, Item.Hint.Value), 0);
   ++Counters.Grants;
-  Actions.push_back(
-      Outgoing<Grant>{To.Id,
-                      {Settings.Id, Id, To.Session, To.LatestSequence, Item.Id,
-                       Entry.Id, Where.Info.Id, Where.Info.Address}});
+  Actions.push_back(Outgoing<Grant>{To.Id, messageOf(Id, Granted)});
+}
+
+Grant Cell::messageOf(GrantId Id, const Issued &Granted) const {
+  Grant Message;
+  Message.Cell = Settings.Id;
+  Message.Id = Id;
+  Message.Session = Granted.Session;
+  Message.Basis = Granted.Basis;
+  Message.Request = Granted.Request;
+  Message.Workspace = Granted.Workspace->Id;
+  Message.Upstream = Granted.Upstream;
+  Message.Address = Replicas.all().at(Granted.Upstream).Info.Address;
+  Message.Charge = ServiceUnits(Granted.Charged);
+  return Message;
 }
 
 void Cell::updateRates() {
--- a/src/scheduling/cell_accounts.cpp
+++ b/src/scheduling/cell_accounts.cpp
@@ -54,7 +54,10 @@
       continue;
     Issued &Granted = Found->second;
     const double Served = std::max(Granted.Served, State.Served.Value);
-    setCharge(Granted, std::max(Granted.Charged, Served), Served);
+    const double Charged = Served > Granted.Charged
+                               ? chargeAhead(ServiceUnits(Served)).Value
+                               : Granted.Charged;
+    setCharge(Granted, Charged, Served);
     Replicas.sample(Granted.Upstream, State.FirstToken, State.InterToken);
     if (State.InterToken && State.InterToken->count() > 0 &&
         (FastestToken.count() == 0 || *State.InterToken < FastestToken))
@@ -130,7 +133,7 @@
 void Cell::forgetLost(GrantId Id) {
   const UpstreamId Where = Grants.at(Id).Upstream;
   forget(Id);
-  Replicas.trustReport(Where);
+  Replicas.markLost(Where);
 }
 
 void Cell::correctHint(const Issued &Granted, double Served) {
@@ -172,12 +175,8 @@
     if (Found == Grants.end() || Found->second.Acknowledged ||
         Age < RepeatPeriod || Age >= Settings.GrantLife)
       continue;
-    const Issued &Granted = Found->second;
-    const auto Where = Replicas.all().find(Granted.Upstream);
-    Actions.push_back(Outgoing<Grant>{
-        Granted.Router,
-        {Settings.Id, Id, Granted.Session, Granted.Basis, Granted.Request,
-         Granted.Workspace->Id, Granted.Upstream, Where->second.Info.Address}});
+    Actions.push_back(
+        Outgoing<Grant>{Found->second.Router, messageOf(Id, Found->second)});
   }
 }
 
--- a/src/scheduling/demand_book.cpp
+++ b/src/scheduling/demand_book.cpp
@@ -118,10 +118,11 @@
   WorkspaceBook &Book = Books[Offer.Workspace];
   if (!Book.Queue.contains(Offer.Request))
     return GrantReturn{Cell, Offer.Id, ReturnReason::NoRequest};
-  return accept(Offer, Book);
+  return accept(Offer, Book, Now);
 }
 
-GrantOutcome DemandBook::accept(const Grant &Offer, WorkspaceBook &Book) {
+GrantOutcome DemandBook::accept(const Grant &Offer, WorkspaceBook &Book,
+                                TimePoint Now) {
   const auto Found = Book.Queue.find(Offer.Request);
   const BookRequest &Request = Found->second.Request;
   Running Started;
@@ -129,6 +130,8 @@
   Started.Upstream = Offer.Upstream;
   Started.Print = Request.Print;
   Started.Hint = Request.Hint.Value;
+  Started.Charge = Offer.Charge;
+  Started.Started = Now;
   Started.State.Grant = Offer.Id;
   Held.emplace(Offer.Id, Started);
   Accepted.push_back(Offer.Id);
--- a/src/scheduling/demand_reports.cpp
+++ b/src/scheduling/demand_reports.cpp
@@ -16,6 +16,11 @@
 /// Keeps grants fresh while requests wait; below a quarter of a grant's life.
 constexpr Milliseconds RefreshPeriod{400};
 constexpr Milliseconds ProgressPeriod{250};
+/// Progress repeats a new grant for this time, in case the report that
+/// confirmed it was lost.
+constexpr Milliseconds ConfirmSpan{1'000};
+/// Token times of a running stream; the in-flight limits need them.
+constexpr Milliseconds SamplePeriod{2'000};
 constexpr Milliseconds SentRetention{4'000};
 /// Full reports repeat a completion for this time, in case it was lost.
 constexpr Milliseconds CompletionRepeat{3'500};
@@ -116,21 +121,33 @@
   return Report;
 }
 
+bool DemandBook::hasNews(const Running &Entry, TimePoint Now) {
+  const bool New = Now - Entry.Started < ConfirmSpan;
+  const bool Undercharged = Entry.State.Served > Entry.Charge;
+  return New || Undercharged || !Entry.ToldAt ||
+         Now - *Entry.ToldAt >= SamplePeriod;
+}
+
 std::optional<Progress> DemandBook::progressReport(TimePoint Now) {
-  const bool RecentEnd = !Ended.empty() && Now - Ended.back().At < QuickRepeat;
-  if (Held.empty() && !RecentEnd)
-    return std::nullopt;
   if (LastProgress && Now - *LastProgress < ProgressPeriod)
     return std::nullopt;
   LastProgress = Now;
   Progress Update{Cell, Session, Sequence, {}, {}};
-  for (const auto &[Id, Entry] : Held)
+  for (auto &[Id, Entry] : Held) {
+    if (!hasNews(Entry, Now))
+      continue;
+    Entry.ToldAt = Now;
+    if (Entry.State.Served > Entry.Charge)
+      Entry.Charge = chargeAhead(Entry.State.Served);
     Update.Grants.push_back(Entry.State);
+  }
   for (auto Entry = Ended.rbegin(); Entry != Ended.rend(); ++Entry) {
     if (Now - Entry->At >= QuickRepeat)
       break;
     Update.Ended.push_back(Entry->Done);
   }
+  if (Update.Grants.empty() && Update.Ended.empty())
+    return std::nullopt;
   return Update;
 }
 
--- a/src/scheduling/replica_table.cpp
+++ b/src/scheduling/replica_table.cpp
@@ -15,7 +15,7 @@
 } // namespace
 
 std::uint32_t FleetPart::of(std::uint32_t Limit) const {
-  if (Heard >= Registered)
+  if (whole())
     return Limit;
   const std::uint64_t Product = static_cast<std::uint64_t>(Limit) * Heard;
   const std::uint64_t Rounding = majority() ? Registered - 1 : 0;
@@ -23,24 +23,35 @@
 }
 
 std::uint32_t Replica::foreign(const FleetPart &Part) const {
-  const bool Whole = Part.Heard >= Part.Registered;
-  const std::uint32_t Known = Whole
-                                  ? std::max({Own, RecentMost, PreviousMost})
-                                  : std::min({Own, RecentLeast, PreviousLeast});
-  const std::uint32_t Latest = Info.Reported.value_or(0);
-  const std::uint32_t Reported =
-      Whole ? Latest : std::max({Latest, RecentReport, PreviousReport});
-  return Reported > Known ? Reported - Known : 0;
+  // A report lags, so it may still count any recent number of own requests.
+  // The estimate is low: a late report must not leave a slot idle.
+  const std::uint32_t Known = std::max({Own, RecentMost, PreviousMost});
+  const std::uint32_t Reported = Info.Reported.value_or(0);
+  const std::uint32_t Low = Reported > Known ? Reported - Known : 0;
+  return Part.whole() ? Low : std::max(Low, Lost);
+}
+
+void Replica::settleLost() {
+  if (!Info.Reported) {
+    // Without load reports there is nothing to wait for.
+    Lost = Periods > PeriodsUntilKnown ? 0 : Lost;
+    return;
+  }
+  if (LostUnknown) {
+    LostUnknown = false;
+    Lost = *Info.Reported > Own ? *Info.Reported - Own : 0;
+  }
+  if (Periods <= PeriodsUntilKnown)
+    return;
+  const std::uint32_t Most =
+      std::max({*Info.Reported, RecentReport, PreviousReport});
+  const std::uint32_t Least = std::min({Own, RecentLeast, PreviousLeast});
+  Lost = std::min(Lost, Most > Least ? Most - Least : 0);
 }
 
 std::uint32_t Replica::usable(const FleetPart &Part) const {
   if (Gone)
     return 0;
-  // A minority that has just chosen a new owner does not trust a single load
-  // report: the other side may use all slots, and some change hands just then.
-  const bool Known = Periods > PeriodsUntilKnown || !Info.Reported;
-  if (!Part.majority() && !Known)
-    return 0;
   const std::uint32_t Whole = Limit.value();
   const std::uint32_t Others = std::min(Whole, foreign(Part));
   return std::min(Part.of(Whole), Whole - Others);
@@ -66,14 +77,18 @@
   for (auto &[Id, Known] : Replicas)
     Known.Gone = true;
   for (const ReplicaInfo &Listed : List) {
-    const auto Found = Replicas.try_emplace(Listed.Id, limitsOf(Listed)).first;
+    const auto [Found, Added] =
+        Replicas.try_emplace(Listed.Id, limitsOf(Listed));
     Replica &Known = Found->second;
+    if (Added && AssumeLost)
+      assumeLost(Known);
     if (Known.Info.MaxInFlight != Listed.MaxInFlight)
       Known.Limit.configure(limitsOf(Listed));
     Known.Info = Listed;
     Known.Gone = false;
     Known.RecentReport =
         std::max(Known.RecentReport, Listed.Reported.value_or(0));
+    Known.settleLost();
   }
   std::erase_if(Replicas, [](const auto &Entry) {
     return Entry.second.Gone && Entry.second.Own == 0;
@@ -147,15 +162,38 @@
     return;
   Replica &Known = Found->second;
   --Known.Own;
-  Known.RecentLeast = std::min(Known.RecentLeast, Known.Own);
 }
 
-void ReplicaTable::trustReport(const UpstreamId &Where) {
-  const auto Found = Replicas.find(Where);
-  if (Found == Replicas.end())
+void ReplicaTable::setPart(const FleetPart &Updated) {
+  Part = Updated;
+  if (!Part.whole())
     return;
-  Found->second.RecentMost = Found->second.Own;
-  Found->second.PreviousMost = Found->second.Own;
+  AssumeLost = false;
+  for (auto &[Id, Known] : Replicas) {
+    Known.Lost = 0;
+    Known.LostUnknown = false;
+  }
+}
+
+void ReplicaTable::markLost(const UpstreamId &Where) {
+  const auto Found = Replicas.find(Where);
+  if (Found != Replicas.end())
+    ++Found->second.Lost;
+}
+
+void ReplicaTable::assumeLost() {
+  AssumeLost = !Part.whole();
+  if (AssumeLost)
+    for (auto &[Id, Known] : Replicas)
+      assumeLost(Known);
+}
+
+void ReplicaTable::assumeLost(Replica &Known) const {
+  // A minority waits for several reports. A majority, mostly after the death
+  // of one owner, must not: it trusts the first one.
+  const std::uint32_t Limit = Known.Limit.value();
+  Known.LostUnknown = Part.majority();
+  Known.Lost = Part.majority() ? 0 : Limit - std::min(Limit, Known.Own);
 }
 
 void ReplicaTable::sample(const UpstreamId &Where,
@@ -167,8 +205,12 @@
 }
 
 void ReplicaTable::adjust(TimePoint Now) {
-  for (auto &[Id, Known] : Replicas)
+  for (auto &[Id, Known] : Replicas) {
     Known.Limit.adjust(Now);
+    // Sampled after the grants, so that a slot that changes hands counts.
+    Known.RecentLeast = std::min(Known.RecentLeast, Known.Own);
+    Known.settleLost();
+  }
   if (LastWindow && Now - *LastWindow < ReportLag)
     return;
   LastWindow = Now;
--- a/src/scheduling/wire.cpp
+++ b/src/scheduling/wire.cpp
@@ -28,7 +28,7 @@
 }
 template <class V> void visit(V &Visitor, Grant &M) {
   Visitor(M.Cell, M.Id, M.Session, M.Basis, M.Request, M.Workspace, M.Upstream,
-          M.Address);
+          M.Address, M.Charge);
 }
 template <class V> void visit(V &Visitor, GrantReturn &M) {
   Visitor(M.Cell, M.Grant, M.Reason);
@@ -45,15 +45,6 @@
 template <class V> void visit(V &Visitor, Allotment &M) {
   Visitor(M.Cell, M.Session, M.Workspaces);
 }
-template <class V> void visit(V &Visitor, ServiceDelta &M) {
-  Visitor(M.Workspace, M.Served);
-}
-template <class V> void visit(V &Visitor, ServiceUpdate &M) {
-  Visitor(M.From, M.OwnerTag, M.Workspaces);
-}
-template <class V> void visit(V &Visitor, SlotLoan &M) {
-  Visitor(M.From, M.To, M.Sequence, M.Upstream, M.Address, M.Slots, M.Life);
-}
 
 /// Writes a message as an array of its fields.
 class Writer {
@@ -188,15 +179,11 @@
 template std::string encode(const Progress &);
 template std::string encode(const Completion &);
 template std::string encode(const Allotment &);
-template std::string encode(const ServiceUpdate &);
-template std::string encode(const SlotLoan &);
 template Result<DemandReport> decode(std::string_view);
 template Result<Grant> decode(std::string_view);
 template Result<GrantReturn> decode(std::string_view);
 template Result<Progress> decode(std::string_view);
 template Result<Completion> decode(std::string_view);
 template Result<Allotment> decode(std::string_view);
-template Result<ServiceUpdate> decode(std::string_view);
-template Result<SlotLoan> decode(std::string_view);
 
 } // namespace mallowglade
--- a/tests/unit-scheduling-limits.cpp
+++ b/tests/unit-scheduling-limits.cpp
@@ -163,7 +163,8 @@
                       Report->Workspaces.front().Next.front().Id,
                       WorkspaceId("w"),
                       UpstreamId("u"),
-                      ""};
+                      "",
+                      ServiceUnits(1)};
     Book.receive(Offer, Now);
     Completion Done;
     Done.Grant = GrantId(1);
