--- a/include/mallowglade/detail/router/request_run.hpp
+++ b/include/mallowglade/detail/router/request_run.hpp
@@ -12,6 +12,8 @@
   AttemptHistory History;
   std::vector<UpstreamId> Avoid;
   EventStream Events;
+  /// Identifies equal requests of a workspace.
+  Fingerprint Print;
   bool Claimed = false;
   /// True once the request has its verdict; control thread only.
   bool Ended = false;
@@ -22,6 +24,8 @@
   /// Bytes of the holder's answer that were passed on.
   std::size_t Relayed = 0;
   std::uint32_t Fetches = 0;
+  /// Fetches in a row that made no connection to the holder.
+  std::uint32_t FailedConnects = 0;
 };
 
 } // namespace mallowglade
--- a/include/mallowglade/detail/router/request_runner.hpp
+++ b/include/mallowglade/detail/router/request_runner.hpp
@@ -13,6 +13,8 @@
 
 namespace mallowglade {
 
+struct FetchResult;
+
 /// @brief An accepted request.
 struct RouterRequest {
   RequestId Id;
@@ -42,6 +44,9 @@
   /// @brief Ends all requests with a problem document at once; new ones are
   ///   refused. Safe to call from any thread.
   void abortAll();
+  /// @brief Ends waiting requests whose fingerprint was convicted; control
+  ///   thread only.
+  void refuseConvicted();
   /// @return requests that have not ended
   std::size_t active() const { return Active; }
 
@@ -56,10 +61,13 @@
   void attachElsewhere(const RunPointer &Current, const ClaimHeldBy &Held);
   void fetch(const RunPointer &Current, const ClaimHeldBy &Held,
              const std::string &Address);
+  void fetched(const RunPointer &Current, const ClaimHeldBy &Held,
+               const FetchResult &Result);
   void attachedEnded(const RunPointer &Current, const ClaimHeldBy &Held,
                      std::optional<Problem> Failure);
   void holderGone(const RunPointer &Current);
   void enqueue(const RunPointer &Current);
+  bool refuseIfConvicted(const RunPointer &Current);
   void dispatch(const RunPointer &Current, const Assignment &Where);
   void runAttempt(const RunPointer &Current, const Assignment &Where);
   void attemptEnded(const RunPointer &Current, const Assignment &Where,
--- a/src/transport/http2_peers.cpp
+++ b/src/transport/http2_peers.cpp
@@ -1,7 +1,6 @@
 #include <mallowglade/transport.hpp>
 
 #include <mallowglade/detail/transport/incoming_connection.hpp>
-#include <mallowglade/detail/transport/message_seal.hpp>
 #include <mallowglade/detail/transport/outgoing_link.hpp>
 
 #include <asio/post.hpp>
@@ -124,9 +123,11 @@
   // stays silent for twice that time has lost its other side.
   const auto SilenceLimit = 2 * Shared->Options.IdleLimit;
   const auto Connections = Incoming;
-  for (const auto &Connection : Connections)
+  for (const auto &Connection : Connections) {
+    Connection->sendDueReplies(Now);
     if (Now - Connection->lastReceived() >= SilenceLimit)
       Connection->close();
+  }
 }
 
 detail::OutgoingLink &Http2Peers::State::linkTo(const RouterId &To) {
@@ -176,7 +177,7 @@
   }
   const detail::MessageEnvelope Envelope{
       To, std::string(Type), PeerSender{Options.Self, Options.Start}};
-  std::string Sealed = detail::sealMessage(Options.FleetKey, Envelope, Body);
+  std::string Sealed = Impl->Shared->Seal.seal(Envelope, Body);
   Impl->linkTo(To).send(Type, std::move(Sealed));
 }
 
