--- a/src/router/request_runner.cpp
+++ b/src/router/request_runner.cpp
@@ -23,6 +23,7 @@
     return AttemptFailure::Silent;
   case AttemptEnd::Answered:
   case AttemptEnd::ConnectionLost:
+  case AttemptEnd::UpstreamCrashed:
   case AttemptEnd::Cancelled:
     return AttemptFailure::Interrupted;
   }
@@ -39,6 +40,7 @@
     return ErrorId::Timeout;
   case AttemptEnd::Answered:
   case AttemptEnd::ConnectionLost:
+  case AttemptEnd::UpstreamCrashed:
   case AttemptEnd::Cancelled:
     return ErrorId::ConnectionLost;
   }
@@ -193,7 +195,7 @@
     return Item.second + CutMemory <= Now;
   });
   const bool First = RecentCuts.emplace(Current->Print, Now).second;
-  return First ? AttemptEnd::Silent : Outcome.End;
+  return First ? Outcome.End : AttemptEnd::UpstreamCrashed;
 }
 
 void RequestRunner::attemptEnded(const RunPointer &Current,
