--- a/src/router/attempt_run.cpp
+++ b/src/router/attempt_run.cpp
@@ -6,6 +6,8 @@
 
 #include <nlohmann/json.hpp>
 
+#include <thread>
+
 namespace mallowglade {
 
 namespace {
@@ -13,8 +15,10 @@
 constexpr Milliseconds ConnectTimeout{1'000};
 constexpr Milliseconds ProgressPeriod{250};
 constexpr Milliseconds ProbeTimeout{500};
-/// A proxy before an upstream that is gone accepts a connection and closes it.
+/// A proxy accepts connections for an upstream that is gone, then closes them.
 constexpr Milliseconds ProbeHold{100};
+/// The sockets of a process that crashes do not all close at once.
+constexpr Milliseconds CrashSettleTime{20};
 constexpr int ServerErrorStatus = 500;
 
 /// Passes the bytes of one attempt on to the answer.
@@ -69,6 +73,18 @@
   std::string Whole;
 };
 
+/// A new connection tells an upstream that is gone from a connection that was
+/// cut or went silent.
+bool isGone(AttemptEnd End, const std::string &Address) {
+  if (End == AttemptEnd::ConnectionLost) {
+    std::this_thread::sleep_for(CrashSettleTime);
+    return !detail::keepsTcpOpen(Address, ProbeTimeout, ProbeHold);
+  }
+  if (End != AttemptEnd::Silent)
+    return End == AttemptEnd::ConnectFailed;
+  return !detail::acceptsTcp(Address, ProbeTimeout);
+}
+
 } // namespace
 
 void RequestRunner::runAttempt(const RunPointer &Current,
@@ -99,17 +115,12 @@
                                       {ConnectTimeout, Request.Pool.GapLimit},
                                       Receiver, &Current->Cancellation);
   AttemptEnd End = Sink.end(Raw);
-  // A new connection tells an upstream that is gone from a connection that was
-  // cut or went silent. One that went silent before it was gone may have lost
-  // its network; its requests are no suspects.
-  const bool Cut = End == AttemptEnd::ConnectionLost &&
-                   detail::keepsTcpOpen(Where.Address, ProbeTimeout, ProbeHold);
-  if (End == AttemptEnd::ConnectionLost && !Cut)
+  const bool Gone = isGone(End, Where.Address);
+  // An upstream that went silent before it was gone may have lost its network;
+  // its requests are no suspects.
+  if (Gone && End == AttemptEnd::ConnectionLost)
     End = AttemptEnd::UpstreamCrashed;
-  const bool Unreachable = End == AttemptEnd::Silent &&
-                           !detail::acceptsTcp(Where.Address, ProbeTimeout);
-  const bool Gone = Unreachable || End == AttemptEnd::ConnectFailed ||
-                    End == AttemptEnd::UpstreamCrashed;
+  const bool Cut = End == AttemptEnd::ConnectionLost;
   Context.Control.post([Self = shared_from_this(), Current, Where, End, Gone,
                         Cut, Head = Sink.head(), Progress = Meter.progress()] {
     const auto Upstreams =
--- a/src/router/request_runner.cpp
+++ b/src/router/request_runner.cpp
@@ -195,7 +195,7 @@
     return Item.second + CutMemory <= Now;
   });
   const bool First = RecentCuts.emplace(Current->Print, Now).second;
-  return First ? AttemptEnd::Silent : AttemptEnd::UpstreamCrashed;
+  return First ? Outcome.End : AttemptEnd::UpstreamCrashed;
 }
 
 void RequestRunner::attemptEnded(const RunPointer &Current,
