Test stops, claims, fairness and settings on whole fleets

Cause: the router network, cells, claims and settings had no test with real processes and failures between them.

The front end raises the listen backlog from the library's 5 and no longer allows two processes to share its port.

Not covered: the slots of a killed router stay reserved in the cell, because its count of registered routers is refreshed on member changes only.

--- a/include/mallowglade/detail/router/http_server.hpp
+++ b/include/mallowglade/detail/router/http_server.hpp
@@ -36,6 +36,9 @@
 public:
   /// @param Limits limits towards clients
   explicit HttpServer(HttpServerLimits Limits);
+  /// @brief Binds an address; clients may connect from now on.
+  /// @return false if the address cannot be used
+  bool bind(const std::string &Host, std::uint16_t Port);
   /// @brief Ends idle connections soon; requests in progress go on.
   void closeIdleConnections();
   /// @return requests whose reply is not completely written
@@ -46,6 +49,7 @@
   void serve(socket_t Socket);
 
   HttpServerLimits Limits;
+  socket_t ListenSocket = INVALID_SOCKET;
   std::atomic<std::size_t> Connections{0};
   std::atomic<std::size_t> Serving{0};
   std::atomic<bool> Closing{false};
--- a/src/router/front_end.cpp
+++ b/src/router/front_end.cpp
@@ -204,7 +204,7 @@
 Result<Success> FrontEnd::start() {
   Impl->addRoutes();
   const HostPort Address = splitAddress(Impl->Context.Settings.Listen);
-  if (!Impl->Server.bind_to_port(Address.Host, Address.Port))
+  if (!Impl->Server.bind(Address.Host, Address.Port))
     return Error{ErrorId::InvalidAddress, "the address cannot be bound",
                  "/listen"};
   Impl->Listener = std::thread([this] { Impl->Server.listen_after_bind(); });
--- a/src/router/http_server.cpp
+++ b/src/router/http_server.cpp
@@ -250,6 +250,17 @@
   };
 }
 
+bool HttpServer::bind(const std::string &Host, std::uint16_t Port) {
+  set_socket_options([this](socket_t Socket) {
+    const int On = 1;
+    setsockopt(Socket, SOL_SOCKET, SO_REUSEADDR, &On, sizeof(On));
+    ListenSocket = Socket;
+  });
+  // The library's backlog of 5 makes a burst of callers wait for a repeated
+  // SYN, which takes a second; calling listen again raises it.
+  return bind_to_port(Host, Port) && ::listen(ListenSocket, SOMAXCONN) == 0;
+}
+
 void HttpServer::closeIdleConnections() { Closing = true; }
 
 bool HttpServer::process_and_close_socket(socket_t Socket) {
--- a/tests/integration/bookings.hpp
+++ b/tests/integration/bookings.hpp
@@ -18,7 +18,8 @@
   long Wrong = 0;
   /// Keys that ran more than once.
   long DoubleRuns = 0;
-  /// Keys that ran although a caller was told that they did not.
+  /// Requests that ran, or repeats of a key that had run, although their
+  /// caller was told that they did not.
   long FalseNotRun = 0;
 };
 
@@ -52,17 +53,30 @@
     int NotRun = 0;
     int Unknown = 0;
     bool Wrong = false;
+    /// Told `not_run` after another caller of the key had been answered.
+    bool NotRunAfterAnswer = false;
+    std::vector<std::string> NotRunRequests;
+  };
+  struct Executions {
+    std::map<std::string, int> Keys;
+    std::map<std::string, int> Requests;
+
+    int ofKey(const std::string &Key) const;
+    bool anyRan(const std::vector<std::string> &Ids) const;
   };
 
   void runClient(int Number, Milliseconds Pause);
-  void record(const std::string &Key, const std::string &Outcome, bool Wrong);
-  static std::map<std::string, int>
-  executions(const std::vector<Node *> &Services);
+  void record(const std::string &Key, const std::string &Request,
+              const std::string &Outcome, bool Wrong, bool AnsweredBefore);
+  bool wasAnswered(const std::string &Key) const;
+  static bool isFalseNotRun(const Told &Entry, const Executions &Ran);
+  static Executions executions(const std::vector<Node *> &Services);
 
   std::vector<std::string> Routers;
   std::string Workspace;
   mutable std::mutex Mutex;
   std::map<std::string, Told> Keys;
+  std::atomic<long> NextRequest{0};
   std::atomic<bool> Stopping{false};
   std::vector<std::jthread> Threads;
 };
--- a/tests/integration/fleet.cpp
+++ b/tests/integration/fleet.cpp
@@ -39,11 +39,11 @@
   return {Address.substr(0, Colon), std::atoi(Address.c_str() + Colon + 1)};
 }
 
-void waitForPort(const Node &Started) {
-  const auto Accepts = [&Started] {
+void waitForPort(const Node &Started, const std::string &Address) {
+  const auto Accepts = [&Started, &Address] {
     if (Started.Runs->ended())
       throw std::runtime_error(Started.Name + " ended at its start");
-    const auto [Host, Port] = split(Started.Address);
+    const auto [Host, Port] = split(Address);
     httplib::Client Client(Host, Port);
     return static_cast<bool>(Client.Get("/"));
   };
@@ -181,7 +181,7 @@
   const std::string Port = std::to_string(UpstreamPort);
   Platform = &start("platform", Host, {binary("standin-platform"), Host, Port});
   Platform->Address = Host + ":" + Port;
-  waitForPort(*Platform);
+  waitForPort(*Platform, Platform->Address);
 }
 
 Fleet::~Fleet() {
@@ -223,7 +223,8 @@
                          const std::string &ListedAddress, int Slots) {
   Node &Started = start(Name, Host, Command);
   Started.Address = Host + ":" + std::to_string(UpstreamPort);
-  waitForPort(Started);
+  Started.Control = Host + ":" + std::to_string(UpstreamPort + 1);
+  waitForPort(Started, Started.Address);
   json Entry{
       {"name", Name},
       {"pool", Pool},
@@ -238,10 +239,12 @@
 Node &Fleet::addEngine(const std::string &Name, const json &Options,
                        const std::string &ListedAddress) {
   const std::string Host = newHost();
-  return addUpstream(Name, "models",
-                     {binary("standin-engine"), Host,
-                      std::to_string(UpstreamPort), Options.dump()},
-                     Host, ListedAddress, Options.value("slots", 0));
+  Node &Started = addUpstream(Name, "models",
+                              {binary("standin-engine"), Host,
+                               std::to_string(UpstreamPort), Options.dump()},
+                              Host, ListedAddress, Options.value("slots", 0));
+  waitForPort(Started, Started.Control);
+  return Started;
 }
 
 Node &Fleet::addService(const std::string &Name,
@@ -264,13 +267,13 @@
       writeFile(fmt::format("proxy-{}.json", Hosts), Settings);
   Node &Started = start("proxy", Host, {binary("fault-proxy"), File});
   Started.Address = fmt::format("{}:{}", Host, ControlPort);
-  waitForPort(Started);
+  waitForPort(Started, Started.Address);
   return Started;
 }
 
-Node &Fleet::startRouter(const json &Overrides) {
-  const std::string Host = newHost();
-  const std::string Name = fmt::format("router-{}", Hosts);
+Node &Fleet::startRouter(const json &Overrides, const std::string &Wanted) {
+  const std::string Host = Wanted.empty() ? newHost() : Wanted;
+  const std::string Name = fmt::format("router-{}", Routers.size());
   json Settings{{"listen", fmt::format("{}:{}", Host, RouterPort)},
                 {"peer_listen", fmt::format("{}:{}", Host, PeerPort)},
                 {"availability_zone", "zone-a"},
--- a/tests/integration/fleet.hpp
+++ b/tests/integration/fleet.hpp
@@ -109,6 +109,8 @@
   std::string Name;
   std::string Host;
   std::string Address;
+  /// Address of a stand-in's control calls.
+  std::string Control;
   std::unique_ptr<Process> Runs;
 };
 
@@ -133,7 +135,8 @@
   Node &addProxy(const std::map<std::string, std::string> &Routes);
   /// Starts a router without waiting for it.
   /// @param Overrides merged into the instance settings
-  Node &startRouter(const json &Overrides);
+  /// @param Host address to use; empty for a new one
+  Node &startRouter(const json &Overrides, const std::string &Host = "");
   /// Starts a router and waits until it is ready.
   Node &addRouter(const json &Overrides);
   /// Starts an ended router again with the same settings.
--- a/tests/integration/load.hpp
+++ b/tests/integration/load.hpp
@@ -51,6 +51,8 @@
   /// Starts the clients of a class.
   void add(const LoadClass &Added);
   void stop();
+  /// Lets the clients end; their open requests count no more.
+  void requestStop() { Stopping = true; }
   /// @return service units per share of each backlogged workspace
   ServiceSample sample() const;
   /// Largest waiting time of a share of the requests, in seconds.
--- a/tests/integration/measure-quickstart.cpp
+++ b/tests/integration/measure-quickstart.cpp
@@ -52,7 +52,7 @@
 double busySlotMillis(const Nodes &Started) {
   double Sum = 0;
   for (const Node *Engine : Started.Engines)
-    Sum += get(Engine->Address, "/control/load")
+    Sum += get(Engine->Control, "/control/load")
                .document()["busy_slot_ms"]
                .get<double>();
   return Sum;
--- a/tests/integration/test-front-end.cpp
+++ b/tests/integration/test-front-end.cpp
@@ -154,7 +154,7 @@
   // Guards against a body that no engine can read taking a slot.
   void badJsonIsNotDispatched() {
     const auto Started = [this] {
-      return get(Engine->Address, "/control/load").document()["started"];
+      return get(Engine->Control, "/control/load").document()["started"];
     };
     const json Before = Started();
     for (const char *Text : {"", "{", "{\"messages\":[}", "nul"}) {
--- a/tests/integration/test-upstreams.cpp
+++ b/tests/integration/test-upstreams.cpp
@@ -109,7 +109,7 @@
 
   // Guards against relying on the instance list, which lags.
   void refusingAsLeavingGetsNoNewWork() {
-    checkLeaving([this] { post(Engines[0]->Address, "/control/leave", {}); });
+    checkLeaving([this] { post(Engines[0]->Control, "/control/leave", {}); });
   }
 
   // Guards against a second execution, or the verdict "not run", after a
@@ -218,7 +218,7 @@
   static json load(Node &Engine) {
     if (Engine.Runs->ended())
       return json::object();
-    return get(Engine.Address, "/control/load").document();
+    return get(Engine.Control, "/control/load").document();
   }
 
   std::unique_ptr<Fleet> Run;
--- a/tests/standins/fault-proxy.cpp
+++ b/tests/standins/fault-proxy.cpp
@@ -15,6 +15,8 @@
 //                 the first byte of the reply
 //   cut_sources   list of client addresses; their connections, old and new,
 //                 pass nothing until the list is replaced
+// A route refuses connections while its target does, as a direct connection
+// to the target would.
 
 #include <asio.hpp>
 #include <fmt/format.h>
@@ -35,6 +37,7 @@
 namespace {
 
 constexpr std::size_t BlockBytes = 16'384;
+constexpr std::chrono::milliseconds TargetProbePeriod{200};
 
 struct Faults {
   std::chrono::milliseconds Delay{0};
@@ -56,9 +59,9 @@
 /// One client's connection and its connection to the target.
 class Pair : public std::enable_shared_from_this<Pair> {
 public:
-  Pair(tcp::socket Accepted, Route &Through)
+  Pair(tcp::socket Accepted, Route &Through, std::function<void()> OnRefused)
       : Client(std::move(Accepted)), Target(Client.get_executor()),
-        Through(Through) {
+        Through(Through), OnRefused(std::move(OnRefused)) {
     asio::error_code Ignored;
     Source = Client.remote_endpoint(Ignored).address().to_string();
     Client.set_option(tcp::no_delay(true), Ignored);
@@ -68,7 +71,7 @@
     Target.async_connect(Through.Target,
                          [Self = shared_from_this()](asio::error_code Failed) {
                            if (Failed)
-                             return Self->close();
+                             return Self->refuse();
                            Self->Target.set_option(tcp::no_delay(true), Failed);
                            Self->pump(Self->Client, Self->Target, true);
                            Self->pump(Self->Target, Self->Client, false);
@@ -91,8 +94,15 @@
     Target.close(Ignored);
   }
 
-  bool passesNothing() const {
-    return Silent || Through.Set.CutSources.contains(Source);
+  void refuse() {
+    close();
+    OnRefused();
+  }
+
+  /// Bytes that were swallowed cannot be made up for, so silence lasts.
+  bool passesNothing() {
+    Silent |= Through.Set.CutSources.contains(Source);
+    return Silent;
   }
 
   void pump(tcp::socket &From, tcp::socket &To, bool TowardsTarget) {
@@ -181,6 +191,7 @@
   tcp::socket Client;
   tcp::socket Target;
   Route &Through;
+  std::function<void()> OnRefused;
   std::string Source;
   bool Silent = false;
   long ToClient = 0;
@@ -197,7 +208,8 @@
 class RouteServer {
 public:
   RouteServer(asio::io_context &Context, const json &Settings)
-      : Acceptor(Context, parseEndpoint(Settings["listen"])) {
+      : Acceptor(Context, parseEndpoint(Settings["listen"])), Probe(Context),
+        Timer(Context) {
     Through.Listen = Settings["listen"];
     Through.Target = parseEndpoint(Settings["target"]);
     accept();
@@ -233,6 +245,26 @@
     Acceptor.async_accept([this](asio::error_code Failed, tcp::socket Client) {
       if (!Failed)
         admit(std::move(Client));
+      if (Acceptor.is_open())
+        accept();
+    });
+  }
+
+  void refuseUntilTargetAccepts() {
+    asio::error_code Ignored;
+    Acceptor.close(Ignored);
+    Timer.expires_after(TargetProbePeriod);
+    Timer.async_wait([this](asio::error_code) { probeTarget(); });
+  }
+
+  void probeTarget() {
+    Probe.async_connect(Through.Target, [this](asio::error_code Failed) {
+      asio::error_code Ignored;
+      Probe.close(Ignored);
+      if (Failed)
+        return refuseUntilTargetAccepts();
+      Acceptor =
+          tcp::acceptor(Probe.get_executor(), parseEndpoint(Through.Listen));
       accept();
     });
   }
@@ -242,7 +274,10 @@
     dropClosed();
     if (Through.Set.DropNew)
       return;
-    Pairs.push_back(std::make_shared<Pair>(std::move(Client), Through));
+    Pairs.push_back(std::make_shared<Pair>(std::move(Client), Through, [this] {
+      if (Acceptor.is_open())
+        refuseUntilTargetAccepts();
+    }));
     Pairs.back()->start();
   }
 
@@ -252,6 +287,8 @@
 
   Route Through;
   tcp::acceptor Acceptor;
+  tcp::socket Probe;
+  asio::steady_timer Timer;
   std::list<std::shared_ptr<Pair>> Pairs;
 };
 
--- a/tests/standins/standin-engine.cpp
+++ b/tests/standins/standin-engine.cpp
@@ -10,6 +10,8 @@
 // `Last-Event-ID: N` resumes after event N. A prompt that holds "CRASH" ends
 // the process. A request whose client has left stops at its next token.
 // `GET /v1/load` reports the state of `load_lag_ms` ago.
+// PORT + 1 serves the control calls, so that they never wait for requests:
+// `GET /control/load` reports the present state,
 // `POST /control/leave` makes it refuse new work; `POST /control/stall` stops
 // all tokens until `POST /control/resume`.
 
@@ -252,7 +254,9 @@
     answerJob(Model, Work, Response);
 }
 
-void addControl(httplib::Server &Server, Engine &Model) {
+/// Serves the control calls on a port of their own until the process ends.
+void serveControl(const char *Address, int Port, Engine &Model) {
+  httplib::Server Server;
   const auto Flag = [&Server](const char *Path, std::atomic<bool> &Target,
                               bool Value) {
     Server.Post(Path, [&Target, Value](const httplib::Request &,
@@ -268,6 +272,7 @@
                                        httplib::Response &Response) {
     Response.set_content(Model.currentLoad().dump(), "application/json");
   });
+  Server.listen(Address, Port);
 }
 
 Options parseOptions(const char *Text) {
@@ -292,14 +297,21 @@
   const Options Settings = parseOptions(ArgumentCount > 3 ? Arguments[3] : "");
   Engine Model(Settings);
   httplib::Server Server;
-  // A few threads more than slots serve the load report and control calls.
-  constexpr int ControlThreads = 4;
+  // A few threads more than slots serve the load report.
+  constexpr int ReportThreads = 4;
   Server.new_task_queue = [&Settings] {
     return new httplib::ThreadPool(
-        static_cast<std::size_t>(Settings.Slots + ControlThreads));
+        static_cast<std::size_t>(Settings.Slots + ReportThreads));
   };
   Server.set_tcp_nodelay(true);
   Server.set_keep_alive_max_count(1);
+  // The library's backlog of 5 would drop connections in a burst.
+  socket_t Listener = INVALID_SOCKET;
+  Server.set_socket_options([&Listener](socket_t Socket) {
+    const int On = 1;
+    setsockopt(Socket, SOL_SOCKET, SO_REUSEADDR, &On, sizeof(On));
+    Listener = Socket;
+  });
   Server.Post("/v1/chat/completions", [&Model](const httplib::Request &Request,
                                                httplib::Response &Response) {
     serveJob(Model, Request, Response);
@@ -308,6 +320,9 @@
              [&Model](const httplib::Request &, httplib::Response &Response) {
                Response.set_content(Model.load().dump(), "application/json");
              });
-  addControl(Server, Model);
-  return Server.listen(Arguments[1], std::atoi(Arguments[2])) ? 0 : 1;
+  const int Port = std::atoi(Arguments[2]);
+  std::thread(serveControl, Arguments[1], Port + 1, std::ref(Model)).detach();
+  const bool Bound = Server.bind_to_port(Arguments[1], Port) &&
+                     ::listen(Listener, SOMAXCONN) == 0;
+  return Bound && Server.listen_after_bind() ? 0 : 1;
 }
--- a/tests/standins/standin-service.cpp
+++ b/tests/standins/standin-service.cpp
@@ -4,7 +4,7 @@
 // Every call outside the control paths is one execution under its
 // `Idempotency-Key`, or else its `X-Request-Id`. The reply names the key and
 // the number of executions so far.
-// `GET /executions` returns the counts per key.
+// `GET /executions` returns the counts per key and per `X-Request-Id`.
 // `POST /control` {"mode": ..., "delay_ms": N} sets the failure mode:
 // `up`, `refuse` (503 before it runs), `lose_reply` (runs, then cuts the
 // connection without a reply), `fail` (runs, then replies 500), `leaving`.
@@ -64,7 +64,8 @@
       return;
     }
     const std::string Key = keyOf(Request);
-    const int Count = countExecution(Key);
+    const int Count =
+        countExecution(Key, Request.get_header_value("X-Request-Id"));
     std::this_thread::sleep_for(std::chrono::milliseconds(DelayMs));
     if (Current == Mode::LoseReply) {
       cutReply(Response);
@@ -93,7 +94,7 @@
 
   json executions() {
     const std::lock_guard<std::mutex> Lock(Mutex);
-    return {{"keys", Counts}};
+    return {{"keys", Counts}, {"requests", RequestCounts}};
   }
 
 private:
@@ -102,8 +103,9 @@
     return Key.empty() ? Request.get_header_value("X-Request-Id") : Key;
   }
 
-  int countExecution(const std::string &Key) {
+  int countExecution(const std::string &Key, const std::string &RequestId) {
     const std::lock_guard<std::mutex> Lock(Mutex);
+    ++RequestCounts[RequestId];
     return ++Counts[Key];
   }
 
@@ -118,6 +120,7 @@
   std::atomic<int> DelayMs{0};
   std::mutex Mutex;
   std::map<std::string, int> Counts;
+  std::map<std::string, int> RequestCounts;
 };
 
 } // namespace
