--- a/include/mallowglade/detail/core/result.hpp
+++ b/include/mallowglade/detail/core/result.hpp
@@ -37,6 +37,7 @@
   ClaimUnavailable,
   AnswerGone,
   UpstreamFailed,
+  UpstreamTimeout,
   Cancelled,
   InvalidRequest,
   Internal,
--- a/src/cli/config_command.cpp
+++ b/src/cli/config_command.cpp
@@ -1,7 +1,6 @@
+#include <mallowglade/detail/cli/instance_file.hpp>
 #include <mallowglade/detail/cli/parser.hpp>
 
-#include <mallowglade/settings.hpp>
-
 #include <fmt/format.h>
 
 namespace mallowglade::detail {
@@ -11,18 +10,10 @@
   TCLAP::UnlabeledValueArg<std::string> File("file", "settings file (JSON)",
                                              true, "", "FILE", Parser.line());
   Parser.parse();
-  bool Failed = false;
-  const std::string Text = readFile(File.getValue(), Failed);
-  if (Failed) {
-    fmt::print(stderr, "mallowglade: cannot read '{}'\n", File.getValue());
-    return ExitCode::Failed;
-  }
-  const Result<InstanceSettings> Settings = parseInstanceSettings(Text);
-  if (!isOk(Settings)) {
-    fmt::print(stderr, "{}: {}\n", File.getValue(),
-               toString(errorOf(Settings)));
-    return ExitCode::InvalidSettings;
-  }
+  InstanceSettings Settings;
+  const ExitCode Loaded = loadInstanceSettings(File.getValue(), Settings);
+  if (Loaded != ExitCode::Ok)
+    return Loaded;
   fmt::print("{}: valid\n", File.getValue());
   return ExitCode::Ok;
 }
--- a/src/cli/router_command.cpp
+++ b/src/cli/router_command.cpp
@@ -1,3 +1,4 @@
+#include <mallowglade/detail/cli/instance_file.hpp>
 #include <mallowglade/detail/cli/parser.hpp>
 
 #include <mallowglade/router.hpp>
@@ -7,6 +8,7 @@
 #include <pthread.h>
 #include <signal.h>
 
+#include <memory>
 #include <thread>
 
 namespace mallowglade::detail {
@@ -21,13 +23,14 @@
   return Signals;
 }
 
-/// Turns each stop signal into a stop request; the process ends with main.
-void watchSignals(RouterApp &App) {
-  std::thread([&App] {
+/// Turns each stop signal into a stop request, until the router is gone.
+void watchSignals(const std::shared_ptr<RouterApp> &App) {
+  std::thread([Weak = std::weak_ptr(App)] {
     const sigset_t Signals = stopSignals();
     int Signal = 0;
     while (sigwait(&Signals, &Signal) == 0)
-      App.requestStop();
+      if (const auto Running = Weak.lock())
+        Running->requestStop();
   }).detach();
 }
 
@@ -35,14 +38,14 @@
   const sigset_t Signals = stopSignals();
   pthread_sigmask(SIG_BLOCK, &Signals, nullptr);
   signal(SIGPIPE, SIG_IGN);
-  RouterApp App(std::move(Settings));
-  const Result<Success> Started = App.start();
+  const auto App = std::make_shared<RouterApp>(std::move(Settings));
+  const Result<Success> Started = App->start();
   if (!isOk(Started)) {
     fmt::print(stderr, "mallowglade: {}\n", toString(errorOf(Started)));
     return ExitCode::Failed;
   }
   watchSignals(App);
-  App.waitUntilStopped();
+  App->waitUntilStopped();
   return ExitCode::Ok;
 }
 
@@ -53,19 +56,11 @@
   TCLAP::ValueArg<std::string> File("s", "settings", "settings file (JSON)",
                                     true, "", "FILE", Parser.line());
   Parser.parse();
-  bool Failed = false;
-  const std::string Text = readFile(File.getValue(), Failed);
-  if (Failed) {
-    fmt::print(stderr, "mallowglade: cannot read '{}'\n", File.getValue());
-    return ExitCode::Failed;
-  }
-  Result<InstanceSettings> Settings = parseInstanceSettings(Text);
-  if (!isOk(Settings)) {
-    fmt::print(stderr, "{}: {}\n", File.getValue(),
-               toString(errorOf(Settings)));
-    return ExitCode::InvalidSettings;
-  }
-  return serve(std::move(valueOf(Settings)));
+  InstanceSettings Settings;
+  const ExitCode Loaded = loadInstanceSettings(File.getValue(), Settings);
+  if (Loaded != ExitCode::Ok)
+    return Loaded;
+  return serve(std::move(Settings));
 }
 
 } // namespace mallowglade::detail
--- a/src/core/result.cpp
+++ b/src/core/result.cpp
@@ -60,6 +60,8 @@
     return "answer.gone";
   case ErrorId::UpstreamFailed:
     return "upstream.failed";
+  case ErrorId::UpstreamTimeout:
+    return "upstream.timeout";
   case ErrorId::Cancelled:
     return "request.cancelled";
   case ErrorId::InvalidRequest:
--- a/src/router/cell_status.cpp
+++ b/src/router/cell_status.cpp
@@ -1,5 +1,7 @@
 #include <mallowglade/detail/router/cell_dispatcher.hpp>
 
+#include <mallowglade/detail/router/operator_key.hpp>
+
 #include <nlohmann/json.hpp>
 
 #include <future>
@@ -12,19 +14,6 @@
 constexpr int Unauthorized = 401;
 constexpr int ServiceUnavailable = 503;
 
-bool isOperator(const RouterContext &Context, const std::string &Key) {
-  const std::string Hash = sha256Hex(Key);
-  const std::string &Platform = Context.Settings.PlatformKeySha256;
-  if (!Platform.empty() && secureEquals(Platform, Hash))
-    return true;
-  const auto Tree =
-      Context.Services.find<SettingsService>(service_name::Settings)->current();
-  for (const OperatorSettings &Operator : Tree->Operators)
-    if (secureEquals(Operator.KeyHash, Hash))
-      return true;
-  return false;
-}
-
 AdminReply failure(int Status, ErrorId Id, const std::string &Detail) {
   const nlohmann::json Body{{"error_id", std::string(toString(Id))},
                             {"detail", Detail}};
@@ -79,7 +68,7 @@
 void CellDispatcher::addRoutes(AdminRoutes &Routes) {
   Routes.add("GET", "/admin/cells",
              [Self = shared_from_this()](const AdminRequest &Call) {
-               if (!isOperator(Self->Context, Call.Key))
+               if (!isOperatorKey(Self->Context, Call.Key))
                  return failure(Unauthorized, ErrorId::Unauthenticated,
                                 "an operator's key is required");
                const auto Text = std::make_shared<std::promise<std::string>>();
--- a/src/router/problem.cpp
+++ b/src/router/problem.cpp
@@ -45,6 +45,7 @@
   case ErrorId::ClaimUnavailable:
     return 503;
   case ErrorId::Timeout:
+  case ErrorId::UpstreamTimeout:
     return 504;
   case ErrorId::Cancelled:
   case ErrorId::Internal:
--- a/src/router/request_runner.cpp
+++ b/src/router/request_runner.cpp
@@ -37,7 +37,7 @@
   case AttemptEnd::Refused:
     return ErrorId::NoCapacity;
   case AttemptEnd::Silent:
-    return ErrorId::Timeout;
+    return ErrorId::UpstreamTimeout;
   case AttemptEnd::Answered:
   case AttemptEnd::ConnectionLost:
   case AttemptEnd::UpstreamCrashed:
--- a/tests/integration/fleet.cpp
+++ b/tests/integration/fleet.cpp
@@ -117,7 +117,7 @@
   return send(Wanted);
 }
 
-Reply getAsOperator(const std::string &Router, const std::string &Path) {
+Reply fetchAsOperator(const std::string &Router, const std::string &Path) {
   Call Wanted;
   Wanted.Address = Router;
   Wanted.Path = Path;
--- a/tests/integration/fleet.hpp
+++ b/tests/integration/fleet.hpp
@@ -87,7 +87,7 @@
 Reply post(const std::string &Address, const std::string &Path,
            const json &Body);
 /// Calls under `/admin/` with the platform operator's credential.
-Reply getAsOperator(const std::string &Router, const std::string &Path);
+Reply fetchAsOperator(const std::string &Router, const std::string &Path);
 Reply postAsOperator(const std::string &Router, const std::string &Path,
                      const json &Body);
 
--- a/tests/integration/measure-failures.cpp
+++ b/tests/integration/measure-failures.cpp
@@ -183,6 +183,7 @@
   // Each case has a fleet of its own, so that several can run side by side.
   constexpr int SideBySide = 3;
   std::vector<std::jthread> Threads;
+  Threads.reserve(SideBySide);
   for (int I = 0; I < SideBySide; ++I)
     Threads.emplace_back(Measure);
   Threads.clear();
--- a/tests/integration/settings-client.cpp
+++ b/tests/integration/settings-client.cpp
@@ -13,13 +13,13 @@
 }
 
 long settingsVersion(const std::string &Router) {
-  const json Document = getAsOperator(Router, "/admin/settings").document();
+  const json Document = fetchAsOperator(Router, "/admin/settings").document();
   return Document.is_object() ? Document.value("version", -1L) : -1;
 }
 
 json branchValue(const std::string &Router, const std::string &Branch) {
   const json Document =
-      getAsOperator(Router, "/admin/settings?branch=" + Branch).document();
+      fetchAsOperator(Router, "/admin/settings?branch=" + Branch).document();
   return Document.is_object() && Document.contains("value") ? Document["value"]
                                                             : json();
 }
--- a/tests/integration/test-fleet.cpp
+++ b/tests/integration/test-fleet.cpp
@@ -31,7 +31,7 @@
     if (Router->Runs->ended())
       continue;
     const json Cells =
-        getAsOperator(Router->Address, "/admin/cells").document()["cells"];
+        fetchAsOperator(Router->Address, "/admin/cells").document()["cells"];
     for (json Cell : Cells)
       if (Cell["pool"] == "models" && Cell.contains("replicas")) {
         Cell.erase("workspaces");
