Limit what a damaged message between routers may allocate

Without the sanitizer the allocation was granted lazily, so the tests passed. Only a holder of the fleet key could send such a message.

--- a/include/mallowglade/detail/outcomes/msgpack_bytes.hpp
+++ b/include/mallowglade/detail/outcomes/msgpack_bytes.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <mallowglade/detail/core/unpack_limit.hpp>
 #include <msgpack.hpp>
 
 #include <optional>
@@ -18,7 +19,10 @@
 /// @return the value, or nothing if the bytes are malformed
 template <class T> std::optional<T> unpackBytes(std::string_view Bytes) {
   try {
-    return msgpack::unpack(Bytes.data(), Bytes.size()).get().as<T>();
+    return msgpack::unpack(Bytes.data(), Bytes.size(), nullptr, nullptr,
+                           mallowglade::detail::unpackLimit(Bytes.size()))
+        .get()
+        .as<T>();
   } catch (const msgpack::unpack_error &) {
     return std::nullopt;
   } catch (const msgpack::type_error &) {
--- a/src/membership/member_codec.cpp
+++ b/src/membership/member_codec.cpp
@@ -1,5 +1,7 @@
 #include <mallowglade/membership.hpp>
 
+#include <mallowglade/detail/core/unpack_limit.hpp>
+
 #include <msgpack.hpp>
 
 namespace mallowglade {
@@ -72,7 +74,9 @@
 
 Result<MemberMessage> decodeMemberMessage(std::string_view Bytes) {
   try {
-    const auto Handle = msgpack::unpack(Bytes.data(), Bytes.size());
+    const auto Handle =
+        msgpack::unpack(Bytes.data(), Bytes.size(), nullptr, nullptr,
+                        mallowglade::detail::unpackLimit(Bytes.size()));
     return readMessage(Handle.get());
   } catch (const std::exception &Failure) {
     return Error{ErrorId::InvalidMessage, Failure.what(), ""};
--- a/src/scheduling/wire.cpp
+++ b/src/scheduling/wire.cpp
@@ -1,5 +1,7 @@
 #include <mallowglade/detail/scheduling/wire.hpp>
 
+#include <mallowglade/detail/core/unpack_limit.hpp>
+
 #include <msgpack.hpp>
 
 #include <cmath>
@@ -163,7 +165,8 @@
 template <class Message> Result<Message> decode(std::string_view Bytes) {
   try {
     const msgpack::object_handle Handle =
-        msgpack::unpack(Bytes.data(), Bytes.size());
+        msgpack::unpack(Bytes.data(), Bytes.size(), nullptr, nullptr,
+                        mallowglade::detail::unpackLimit(Bytes.size()));
     Message Value;
     Reader In(Handle.get());
     visit(In, Value);
