--- /dev/null
+++ b/include/mallowglade/dataplane.hpp
@@ -0,0 +1,22 @@
+#pragma once
+
+/// @file
+/// @brief The data plane: one event loop that serves callers, and the thread
+///   that keeps it informed.
+
+#include <mallowglade/detail/dataplane/admission.hpp>
+#include <mallowglade/detail/dataplane/configuration.hpp>
+#include <mallowglade/detail/dataplane/control.hpp>
+#include <mallowglade/detail/dataplane/event_log.hpp>
+#include <mallowglade/detail/dataplane/fair_share.hpp>
+#include <mallowglade/detail/dataplane/fleet_state.hpp>
+#include <mallowglade/detail/dataplane/node.hpp>
+#include <mallowglade/detail/dataplane/node_settings.hpp>
+#include <mallowglade/detail/dataplane/peer_directory.hpp>
+#include <mallowglade/detail/dataplane/peer_message.hpp>
+#include <mallowglade/detail/dataplane/placement.hpp>
+#include <mallowglade/detail/dataplane/request_run.hpp>
+#include <mallowglade/detail/dataplane/retry_allowance.hpp>
+#include <mallowglade/detail/dataplane/traffic.hpp>
+#include <mallowglade/detail/dataplane/upstream_table.hpp>
+#include <mallowglade/detail/dataplane/wire_protocol.hpp>
--- a/include/mallowglade/detail/cli/command.hpp
+++ b/include/mallowglade/detail/cli/command.hpp
@@ -24,6 +24,8 @@
 
 /// @brief `mallowglade router`.
 ExitCode runRouter(std::vector<std::string> Arguments);
+/// @brief `mallowglade node`.
+ExitCode runNodeCommand(std::vector<std::string> Arguments);
 /// @brief `mallowglade config check`.
 ExitCode runConfigCheck(std::vector<std::string> Arguments);
 /// @brief `mallowglade addresses`.
--- /dev/null
+++ b/include/mallowglade/detail/dataplane/control.hpp
@@ -0,0 +1,92 @@
+#pragma once
+
+#include <mallowglade/detail/dataplane/event_log.hpp>
+#include <mallowglade/detail/dataplane/node_settings.hpp>
+#include <mallowglade/detail/dataplane/peer_directory.hpp>
+#include <mallowglade/detail/dataplane/traffic.hpp>
+#include <mallowglade/detail/http1/server.hpp>
+#include <mallowglade/detail/telemetry/metrics.hpp>
+
+#include <asio/io_context.hpp>
+#include <asio/ip/udp.hpp>
+#include <asio/steady_timer.hpp>
+
+#include <array>
+#include <functional>
+#include <memory>
+
+namespace mallowglade::dataplane {
+
+/// @brief Sends work to the traffic thread.
+class TrafficLink {
+public:
+  virtual ~TrafficLink() = default;
+  /// @brief Runs a task on the traffic thread.
+  virtual void onTraffic(std::function<void(Traffic &)> Task) = 0;
+};
+
+/// @brief State shared with other routers; all members run on the control
+///   thread.
+///
+/// Reads the metadata store, exchanges reports with the other routers, and
+/// answers questions about readiness, addresses and metrics.
+class Control {
+public:
+  Control(asio::io_context &Context, const NodeSettings &Settings,
+          const WireProtocol &Wire, FleetStore &Store, TrafficLink &Link,
+          const Clock &Time, RandomSource &Random, EventLog &Log);
+
+  /// @brief Starts listening and polling.
+  std::error_code start();
+  /// @brief Withdraws this router from what callers are offered.
+  void leave();
+  /// @return true while callers may be sent here
+  bool ready() const;
+  /// @brief Takes the traffic thread's report.
+  void onReport(TrafficReport Report, TrafficCounters Counters);
+
+private:
+  void pollStore();
+  void onState(TimePoint Asked, Result<FleetState> State);
+  void publish();
+  void announce();
+  void exchange();
+  void receive();
+  void onDatagram(std::size_t Size);
+  void publishPeers();
+  void onReadiness(const std::shared_ptr<http1::ServerExchange> &Exchange);
+  void onAddresses(const std::shared_ptr<http1::ServerExchange> &Exchange);
+  void onMetrics(const std::shared_ptr<http1::ServerExchange> &Exchange);
+  void every(asio::steady_timer &Timer, Milliseconds Period,
+             std::function<void()> Task);
+
+  asio::io_context &Context;
+  const NodeSettings &Settings;
+  const WireProtocol &Wire;
+  FleetStore &Store;
+  TrafficLink &Link;
+  const Clock &Time;
+  RandomSource &Random;
+  EventLog &Log;
+  RouterRecord Self;
+  PeerDirectory Peers;
+  http1::Http1Server ReadinessServer;
+  std::unique_ptr<http1::Http1Server> AddressesServer;
+  http1::Http1Server MetricsServer;
+  asio::ip::udp::socket Socket;
+  asio::ip::udp::endpoint Sender;
+  std::array<char, 64 * 1024> Datagram{};
+  asio::steady_timer PollTimer;
+  asio::steady_timer AnnounceTimer;
+  asio::steady_timer ExchangeTimer;
+  Metrics Counts;
+  ControlView View;
+  TrafficReport OwnReport;
+  TrafficCounters OwnCounters;
+  std::uint64_t Incarnation = 0;
+  std::uint64_t Sequence = 0;
+  bool StoreReachable = false;
+  bool Leaving = false;
+};
+
+} // namespace mallowglade::dataplane
--- /dev/null
+++ b/include/mallowglade/detail/dataplane/placement.hpp
@@ -0,0 +1,79 @@
+#pragma once
+
+#include <mallowglade/detail/dataplane/upstream_table.hpp>
+
+#include <optional>
+#include <set>
+
+namespace mallowglade::dataplane {
+
+/// @brief What a request needs of an upstream.
+struct WorkEstimate {
+  /// Prompt tokens that an upstream has to read if it keeps the shared parts.
+  double UncachedPrompt = 0;
+  /// Tokens of the parts that it may keep from earlier requests.
+  double SharedPrompt = 0;
+  double OutputTokens = 0;
+
+  /// @return work to count at an upstream
+  /// @param PartsKept true if the upstream is expected to keep the parts
+  UpstreamLoad load(bool PartsKept) const;
+};
+
+/// @brief A question for an upstream.
+struct PlacementQuery {
+  ServiceId Service;
+  /// Equal for requests that share the longest part of their prompt.
+  std::optional<std::uint64_t> Affinity;
+  WorkEstimate Work;
+  /// Time to the first event that the caller expects.
+  Milliseconds LatencyObjective{};
+  /// Upstreams that have failed this request.
+  std::set<UpstreamId> Excluded;
+};
+
+/// @brief An upstream that can take a request now.
+struct PlacementChoice {
+  UpstreamState *Upstream = nullptr;
+  /// True if the upstream is expected to keep the shared parts.
+  bool PartsKept = false;
+};
+
+/// @brief Chooses upstreams so that prompt parts are read once and no upstream
+///   has more unread prompt than callers can wait for.
+///
+/// Load it answers: engines without priorities admit in order of arrival, so
+/// a prompt that is sent too early delays the first tokens of all that follow.
+/// All routers rank the upstreams of one affinity key alike, without asking.
+class Placement {
+public:
+  /// @param Zone availability zone of this router
+  Placement(UpstreamTable &Table, const Clock &Time, ZoneId Zone)
+      : Table(Table), Time(Time), Zone(std::move(Zone)) {}
+
+  /// @brief Takes the profile that the rates are worked out from.
+  /// @param TokensPerSecond capacity of all engines together; 0 if unknown
+  void configure(const Configuration &Config);
+  /// @brief Finds an upstream that can take a request now.
+  /// @return the choice; `Upstream` is null if all are full
+  PlacementChoice choose(const PlacementQuery &Query) const;
+  /// @brief Tells whether an upstream has capacity to spare.
+  bool hasSpare(const UpstreamState &Upstream) const;
+  /// @return true if the service has an upstream that may take work at all
+  bool anyUsable(const ServiceId &Name) const;
+
+private:
+  bool usable(const UpstreamState &Upstream, const PlacementQuery &Query) const;
+  bool fits(const UpstreamState &Upstream, const PlacementQuery &Query,
+            bool PartsKept) const;
+  PlacementChoice leastLoaded(const PlacementQuery &Query) const;
+
+  UpstreamTable &Table;
+  const Clock &Time;
+  ZoneId Zone;
+  const Configuration *Config = nullptr;
+  /// Prompt tokens that an engine reads in a millisecond.
+  double PromptTokensPerMs = 0;
+};
+
+} // namespace mallowglade::dataplane
--- /dev/null
+++ b/include/mallowglade/detail/dataplane/traffic.hpp
@@ -0,0 +1,110 @@
+#pragma once
+
+#include <mallowglade/detail/dataplane/admission.hpp>
+#include <mallowglade/detail/dataplane/event_log.hpp>
+#include <mallowglade/detail/dataplane/node_settings.hpp>
+#include <mallowglade/detail/dataplane/wire_protocol.hpp>
+#include <mallowglade/detail/http1/server.hpp>
+#include <mallowglade/detail/http1/upstream_pool.hpp>
+
+#include <asio/io_context.hpp>
+#include <asio/steady_timer.hpp>
+
+#include <memory>
+#include <string>
+
+namespace mallowglade::dataplane {
+
+/// @brief What the control thread hands to the traffic thread.
+struct ControlView {
+  std::shared_ptr<const Configuration> Config;
+  std::vector<UpstreamRecord> Upstreams;
+  /// Start of the newest reading of the store that succeeded.
+  TimePoint ProvenAt{};
+  std::size_t Routers = 1;
+};
+
+/// @brief What the other routers reported, added up.
+struct PeerSums {
+  LoadTable Loads;
+  UsageTable Usage;
+};
+
+/// @brief What the traffic thread tells the other routers.
+struct TrafficReport {
+  LoadTable Loads;
+  UsageTable Usage;
+  std::size_t BusyConnections = 0;
+};
+
+/// @brief Counters of the traffic thread, for the metrics.
+struct TrafficCounters {
+  std::uint64_t Requests = 0;
+  std::uint64_t Answered = 0;
+  std::uint64_t Refused = 0;
+  std::uint64_t Failed = 0;
+  std::uint64_t Retries = 0;
+  std::uint64_t ResumedStreams = 0;
+  std::uint64_t CallersGone = 0;
+};
+
+class RequestRun;
+
+/// @brief Serves callers' requests; all members run on the traffic thread.
+class Traffic {
+public:
+  Traffic(asio::io_context &Context, const NodeSettings &Settings,
+          const WireProtocol &Wire, const Clock &Time, RandomSource &Random,
+          EventLog &Log);
+  ~Traffic();
+
+  /// @brief Starts to accept callers.
+  std::error_code start();
+  /// @brief Takes a new view of the control thread.
+  void apply(const ControlView &View);
+  /// @brief Takes the sums of the other routers' reports.
+  void applyPeers(const PeerSums &Sums);
+  /// @return what the other routers should know
+  TrafficReport report();
+  /// @brief Ends idle connections and asks callers of busy ones to leave.
+  void drain();
+  /// @brief Refuses new requests; those at upstreams go on.
+  void refuseNew();
+  const TrafficCounters &counters() const { return Counters; }
+  std::size_t openConnections() const { return Server.connections(); }
+  std::size_t busyConnections() const { return Server.busyConnections(); }
+  std::uint64_t upstreamConnectionsOpened() const { return Pool.opened(); }
+  std::size_t waiting() const { return Queue.waiting(); }
+
+private:
+  friend class RequestRun;
+
+  void onRequest(const std::shared_ptr<http1::ServerExchange> &Exchange);
+  void refuseAtOnce(http1::ServerExchange &Exchange, unsigned Status,
+                    std::string_view Reason, const AttemptId &Attempt);
+  const ServiceId &pickService(const Route &Of);
+  bool credentialsFresh() const;
+  void schedulePump();
+  void tick();
+
+  asio::io_context &Context;
+  const NodeSettings &Settings;
+  const WireProtocol &Wire;
+  const Clock &Time;
+  RandomSource &Random;
+  EventLog &Log;
+  http1::Http1Server Server;
+  http1::UpstreamPool Pool;
+  UpstreamTable Upstreams;
+  Placement Places;
+  FairShare Shares;
+  Admission Queue;
+  RetryAllowance Retries;
+  ControlView View;
+  TrafficCounters Counters;
+  asio::steady_timer Ticker;
+  bool PumpScheduled = false;
+  bool Refusing = false;
+};
+
+} // namespace mallowglade::dataplane
--- a/include/mallowglade/detail/router/request_run.hpp
+++ b/include/mallowglade/detail/router/request_run.hpp
@@ -1,6 +1,6 @@
 #pragma once
 
-#include <mallowglade/detail/router/event_stream.hpp>
+#include <mallowglade/detail/http1/event_stream.hpp>
 #include <mallowglade/detail/router/request_runner.hpp>
 
 namespace mallowglade {
--- /dev/null
+++ b/src/cli/node_command.cpp
@@ -0,0 +1,62 @@
+#include <mallowglade/detail/cli/command.hpp>
+#include <mallowglade/detail/cli/parser.hpp>
+
+#include <mallowglade/dataplane.hpp>
+
+#include "../../platform/store.hpp"
+#include "../../platform/wire.hpp"
+
+#include <mallowglade/detail/settings/json_reader.hpp>
+
+#include <fmt/format.h>
+
+#include <signal.h>
+
+#include <cstdlib>
+
+namespace mallowglade::detail {
+
+namespace {
+
+/// Names the settings file where none is given on the command line.
+constexpr const char *SettingsVariable = "MALLOWGLADE_BOOT";
+
+std::unique_ptr<dataplane::FleetStore>
+makeStore(asio::io_context &Context, const dataplane::NodeSettings &Settings) {
+  const HostPort Address = splitAddress(Settings.StoreAddress);
+  return std::make_unique<platform::PlatformStore>(
+      Context, asio::ip::tcp::endpoint(asio::ip::make_address(Address.Host),
+                                       Address.Port));
+}
+
+} // namespace
+
+ExitCode runNodeCommand(std::vector<std::string> Arguments) {
+  CommandParser Parser(std::move(Arguments));
+  const char *FromEnvironment = std::getenv(SettingsVariable);
+  TCLAP::ValueArg<std::string> File(
+      "s", "settings", "settings file (JSON)", false,
+      FromEnvironment != nullptr ? FromEnvironment : "", "FILE", Parser.line());
+  Parser.parse();
+  bool Failed = false;
+  const std::string Text = readFile(File.getValue(), Failed);
+  if (Failed) {
+    fmt::print(stderr, "mallowglade: cannot read {}\n", File.getValue());
+    return ExitCode::Failed;
+  }
+  const auto Settings = dataplane::parseNodeSettings(Text);
+  if (!isOk(Settings)) {
+    fmt::print(stderr, "mallowglade: {}\n", toString(errorOf(Settings)));
+    return ExitCode::Failed;
+  }
+  signal(SIGPIPE, SIG_IGN);
+  const platform::PlatformWire Wire;
+  const Result<Success> Outcome =
+      dataplane::runNode(valueOf(Settings), File.getValue(), Wire, makeStore);
+  if (isOk(Outcome))
+    return ExitCode::Ok;
+  fmt::print(stderr, "mallowglade: {}\n", toString(errorOf(Outcome)));
+  return ExitCode::Failed;
+}
+
+} // namespace mallowglade::detail
--- /dev/null
+++ b/src/dataplane/configuration.cpp
@@ -0,0 +1,65 @@
+#include <mallowglade/detail/dataplane/configuration.hpp>
+
+#include <algorithm>
+#include <cctype>
+
+namespace mallowglade::dataplane {
+
+namespace {
+
+std::string lowerCase(std::string_view Text) {
+  std::string Lower(Text);
+  std::transform(
+      Lower.begin(), Lower.end(), Lower.begin(),
+      [](unsigned char C) { return static_cast<char>(std::tolower(C)); });
+  return Lower;
+}
+
+std::string_view withoutPort(std::string_view Host) {
+  const std::size_t Colon = Host.rfind(':');
+  return Colon == std::string_view::npos ? Host : Host.substr(0, Colon);
+}
+
+} // namespace
+
+void Configuration::index() {
+  RoutesByHost.clear();
+  WorkspaceByKey.clear();
+  ServiceByName.clear();
+  for (std::size_t At = 0; At < Routes.size(); ++At)
+    RoutesByHost[lowerCase(Routes[At].Host)].push_back(At);
+  for (auto &[Host, Indices] : RoutesByHost)
+    std::stable_sort(Indices.begin(), Indices.end(),
+                     [this](std::size_t Left, std::size_t Right) {
+                       return Routes[Left].PathPrefix.size() >
+                              Routes[Right].PathPrefix.size();
+                     });
+  for (std::size_t At = 0; At < Workspaces.size(); ++At)
+    for (const std::string &Key : Workspaces[At].Keys)
+      WorkspaceByKey.emplace(Key, At);
+  for (std::size_t At = 0; At < Services.size(); ++At)
+    ServiceByName.emplace(Services[At].Name, At);
+}
+
+const Route *Configuration::match(std::string_view Host,
+                                  std::string_view Path) const {
+  const auto Found = RoutesByHost.find(lowerCase(withoutPort(Host)));
+  if (Found == RoutesByHost.end())
+    return nullptr;
+  for (const std::size_t At : Found->second)
+    if (Path.starts_with(Routes[At].PathPrefix))
+      return &Routes[At];
+  return nullptr;
+}
+
+const Workspace *Configuration::workspaceOf(std::string_view Key) const {
+  const auto Found = WorkspaceByKey.find(std::string(Key));
+  return Found == WorkspaceByKey.end() ? nullptr : &Workspaces[Found->second];
+}
+
+const Service *Configuration::serviceOf(const ServiceId &Name) const {
+  const auto Found = ServiceByName.find(Name);
+  return Found == ServiceByName.end() ? nullptr : &Services[Found->second];
+}
+
+} // namespace mallowglade::dataplane
--- /dev/null
+++ b/src/dataplane/control.cpp
@@ -0,0 +1,281 @@
+#include <mallowglade/detail/dataplane/control.hpp>
+
+#include <mallowglade/detail/settings/json_reader.hpp>
+
+#include <fmt/format.h>
+
+namespace mallowglade::dataplane {
+
+namespace {
+
+/// Time between readings of the store; a change has to be in force within two
+/// seconds and an upstream that leaves gets no new work after as long.
+constexpr Milliseconds PollPeriod{800};
+/// Renewals in the life of a registration.
+constexpr Milliseconds AnnouncePeriod{1'300};
+/// Reports between routers; the load that peers see is as old.
+constexpr Milliseconds ExchangePeriod{200};
+/// Time that callers keep an answer with addresses.
+constexpr std::chrono::seconds AddressTtl{2};
+constexpr std::size_t MaxAddresses = 64;
+/// Bounds on calls to the control servers; their callers send small requests.
+constexpr http1::ServerLimits ControlLimits{
+    8 * 1024, 16 * 1024, Milliseconds(3'000), Milliseconds(15'000),
+    200,      256 * 1024};
+
+asio::ip::tcp::endpoint tcpEndpoint(const std::string &Address) {
+  const HostPort Parts = splitAddress(Address);
+  return {asio::ip::make_address(Parts.Host), Parts.Port};
+}
+
+asio::ip::udp::endpoint udpEndpoint(const std::string &Address) {
+  const HostPort Parts = splitAddress(Address);
+  return {asio::ip::make_address(Parts.Host), Parts.Port};
+}
+
+} // namespace
+
+Control::Control(asio::io_context &Context, const NodeSettings &Settings,
+                 const WireProtocol &Wire, FleetStore &Store, TrafficLink &Link,
+                 const Clock &Time, RandomSource &Random, EventLog &Log)
+    : Context(Context), Settings(Settings), Wire(Wire), Store(Store),
+      Link(Link), Time(Time), Random(Random),
+      Log(Log), Self{RouterId(Settings.PeerListen), Settings.CallerListen,
+                     Settings.PeerListen},
+      Peers(Self.Id, Time),
+      ReadinessServer(Context, tcpEndpoint(Settings.ReadinessListen),
+                      ControlLimits,
+                      [this](const auto &Exchange) { onReadiness(Exchange); }),
+      MetricsServer(Context, tcpEndpoint(Settings.MetricsListen), ControlLimits,
+                    [this](const auto &Exchange) { onMetrics(Exchange); }),
+      Socket(Context), PollTimer(Context), AnnounceTimer(Context),
+      ExchangeTimer(Context), Incarnation(Random.next()) {
+  if (!Settings.AddressesListen.empty())
+    AddressesServer = std::make_unique<http1::Http1Server>(
+        Context, tcpEndpoint(Settings.AddressesListen), ControlLimits,
+        [this](const auto &Exchange) { onAddresses(Exchange); });
+}
+
+std::error_code Control::start() {
+  std::error_code Error = ReadinessServer.listen();
+  if (!Error)
+    Error = MetricsServer.listen();
+  if (!Error && AddressesServer)
+    Error = AddressesServer->listen();
+  const auto Address = udpEndpoint(Settings.PeerListen);
+  if (!Error)
+    Socket.open(Address.protocol(), Error);
+  if (!Error)
+    Socket.bind(Address, Error);
+  if (Error)
+    return Error;
+  Socket.non_blocking(true, Error);
+  receive();
+  pollStore();
+  announce();
+  exchange();
+  return Error;
+}
+
+void Control::every(asio::steady_timer &Timer, Milliseconds Period,
+                    std::function<void()> Task) {
+  // Up to a tenth earlier, so that routers started together drift apart.
+  constexpr std::int64_t JitterPart = 10;
+  const auto Jitter =
+      Random.below(static_cast<std::uint64_t>(Period.count() / JitterPart) + 1);
+  Timer.expires_after(Period - Milliseconds(Jitter));
+  Timer.async_wait([Work = std::move(Task)](std::error_code Error) {
+    if (!Error)
+      Work();
+  });
+}
+
+void Control::pollStore() {
+  const TimePoint Asked = Time.now();
+  Store.read([this, Asked](Result<FleetState> State) {
+    onState(Asked, std::move(State));
+  });
+  every(PollTimer, PollPeriod, [this] { pollStore(); });
+}
+
+void Control::onState(TimePoint Asked, Result<FleetState> State) {
+  if (!isOk(State)) {
+    if (StoreReachable)
+      Log.write("store_lost", {{"cause", toString(errorOf(State))}});
+    StoreReachable = false;
+    return;
+  }
+  if (!StoreReachable)
+    Log.write(
+        "store_reached",
+        {{"upstreams", std::int64_t(valueOf(State).Upstreams.size())},
+         {"routers", std::int64_t(valueOf(State).Routers.size())},
+         {"skipped_entries", std::int64_t(valueOf(State).SkippedEntries)}});
+  StoreReachable = true;
+  FleetState &Read = valueOf(State);
+  if (Asked < View.ProvenAt)
+    return;
+  Peers.setRegistered(Read.Routers);
+  View.ProvenAt = Asked;
+  View.Upstreams = std::move(Read.Upstreams);
+  const bool Newer = Read.Config && (!View.Config || Read.Config->Version >
+                                                         View.Config->Version);
+  if (Newer) {
+    View.Config = std::move(Read.Config);
+    Log.write("configuration",
+              {{"version", std::int64_t(View.Config->Version.Value)},
+               {"routes", std::int64_t(View.Config->Routes.size())},
+               {"workspaces", std::int64_t(View.Config->Workspaces.size())}});
+  }
+  publish();
+}
+
+void Control::publish() {
+  View.Routers = Peers.liveRouters();
+  Link.onTraffic([Copy = View](Traffic &Target) { Target.apply(Copy); });
+}
+
+void Control::announce() {
+  if (!Leaving)
+    Store.announce(Self, [this](Result<Success> Outcome) {
+      if (!isOk(Outcome))
+        Log.write("announce_failed", {{"cause", toString(errorOf(Outcome))}});
+    });
+  every(AnnounceTimer, AnnouncePeriod, [this] { announce(); });
+}
+
+void Control::exchange() {
+  PeerReport Report;
+  Report.Sender = Self.Id;
+  Report.Incarnation = Incarnation;
+  Report.Sequence = ++Sequence;
+  Report.CallerAddress = Self.CallerAddress;
+  Report.Ready = ready();
+  if (View.Config)
+    Report.Config = View.Config->Version;
+  Report.Loads = OwnReport.Loads;
+  Report.Usage = OwnReport.Usage;
+  const std::string Bytes = encodeReport(Report);
+  for (const std::string &Address : Peers.peerAddresses()) {
+    std::error_code Error;
+    Socket.send_to(asio::buffer(Bytes), udpEndpoint(Address), 0, Error);
+    if (Error && Error != asio::error::would_block)
+      Counts.count("mallowglade_peer_send_errors_total",
+                   {{"error", Error.message()}});
+  }
+  publishPeers();
+  Link.onTraffic([this](Traffic &Source) {
+    auto Next = Source.report();
+    const auto Counters = Source.counters();
+    asio::post(Context, [this, Reported = std::move(Next), Counters] {
+      onReport(Reported, Counters);
+    });
+  });
+  Log.flush();
+  every(ExchangeTimer, ExchangePeriod, [this] { exchange(); });
+}
+
+void Control::onReport(TrafficReport Report, TrafficCounters Counters) {
+  OwnReport = std::move(Report);
+  OwnCounters = Counters;
+}
+
+void Control::publishPeers() {
+  Link.onTraffic(
+      [Sums = Peers.sums()](Traffic &Target) { Target.applyPeers(Sums); });
+}
+
+void Control::receive() {
+  Socket.async_receive_from(asio::buffer(Datagram), Sender,
+                            [this](std::error_code Error, std::size_t Size) {
+                              if (Error == asio::error::operation_aborted)
+                                return;
+                              if (!Error)
+                                onDatagram(Size);
+                              receive();
+                            });
+}
+
+void Control::onDatagram(std::size_t Size) {
+  Result<PeerReport> Report = decodeReport({Datagram.data(), Size});
+  if (!isOk(Report)) {
+    Log.write("peer_report_rejected", {{"from", Sender.address().to_string()},
+                                       {"cause", toString(errorOf(Report))}});
+    return;
+  }
+  const std::string From = valueOf(Report).Sender.Value;
+  const bool NowReady = valueOf(Report).Ready;
+  if (Peers.accept(std::move(valueOf(Report))))
+    Log.write("peer_changed",
+              {{"router", From}, {"ready", NowReady ? "true" : "false"}});
+}
+
+bool Control::ready() const { return View.Config && !Leaving; }
+
+void Control::leave() {
+  Leaving = true;
+  Store.withdraw();
+  // Tell the others at once; the report goes out again on the next turn.
+  ExchangeTimer.cancel();
+  exchange();
+}
+
+void Control::onReadiness(
+    const std::shared_ptr<http1::ServerExchange> &Exchange) {
+  if (!Wire.isReadinessCall(Exchange->Head.Target))
+    Exchange->respond(404, {}, "");
+  else
+    Exchange->respond(ready() ? 200 : 503, {}, "");
+}
+
+void Control::onAddresses(
+    const std::shared_ptr<http1::ServerExchange> &Exchange) {
+  if (!Wire.isAddressesCall(Exchange->Head.Target)) {
+    Exchange->respond(404, {}, "");
+    return;
+  }
+  std::vector<std::string> Addresses = Peers.callerAddresses();
+  if (ready())
+    Addresses.push_back(Self.CallerAddress);
+  if (Addresses.size() > MaxAddresses) {
+    for (std::size_t At = 0; At < MaxAddresses; ++At)
+      std::swap(Addresses[At],
+                Addresses[At + Random.below(Addresses.size() - At)]);
+    Addresses.resize(MaxAddresses);
+  }
+  if (Addresses.empty()) {
+    Exchange->respond(503, {}, "");
+    return;
+  }
+  http1::HeaderList Fields;
+  Fields.add("Content-Type", "application/json");
+  Exchange->respond(
+      200, Fields,
+      Wire.renderAddresses(Addresses,
+                           std::min(AddressTtl, Settings.MaxAddressTtl)));
+}
+
+void Control::onMetrics(
+    const std::shared_ptr<http1::ServerExchange> &Exchange) {
+  const auto Set = [this](const char *Name, double Value) {
+    Counts.set(Name, {}, Value);
+  };
+  Set("mallowglade_requests", static_cast<double>(OwnCounters.Requests));
+  Set("mallowglade_answered", static_cast<double>(OwnCounters.Answered));
+  Set("mallowglade_refused", static_cast<double>(OwnCounters.Refused));
+  Set("mallowglade_failed", static_cast<double>(OwnCounters.Failed));
+  Set("mallowglade_retries", static_cast<double>(OwnCounters.Retries));
+  Set("mallowglade_resumed_streams",
+      static_cast<double>(OwnCounters.ResumedStreams));
+  Set("mallowglade_callers_gone", static_cast<double>(OwnCounters.CallersGone));
+  Set("mallowglade_live_routers", static_cast<double>(Peers.liveRouters()));
+  Set("mallowglade_configuration_version",
+      View.Config ? static_cast<double>(View.Config->Version.Value) : 0);
+  Set("mallowglade_store_reading_age_seconds",
+      std::chrono::duration<double>(Time.now() - View.ProvenAt).count());
+  http1::HeaderList Fields;
+  Fields.add("Content-Type", "text/plain; version=0.0.4");
+  Exchange->respond(200, Fields, Counts.text());
+}
+
+} // namespace mallowglade::dataplane
--- /dev/null
+++ b/src/dataplane/event_log.cpp
@@ -0,0 +1,98 @@
+#include <mallowglade/detail/dataplane/event_log.hpp>
+
+#include <fcntl.h>
+#include <unistd.h>
+
+#include <algorithm>
+
+namespace mallowglade::dataplane {
+
+namespace {
+
+/// Lines held while the reader of the log is slow.
+constexpr std::size_t MaxBufferedBytes = 256 * 1024;
+/// Burst of lines beyond the rate, in seconds of the rate.
+constexpr double BurstSeconds = 4;
+
+void appendEscaped(std::string &Out, std::string_view Text) {
+  constexpr unsigned char FirstPrintable = 0x20;
+  for (const char C : Text) {
+    if (C == '"' || C == '\\')
+      Out += '\\';
+    if (static_cast<unsigned char>(C) < FirstPrintable)
+      fmt::format_to(std::back_inserter(Out), "\\u{:04x}",
+                     static_cast<unsigned>(C));
+    else
+      Out += C;
+  }
+}
+
+void appendValue(std::string &Out, const EventField &Field) {
+  if (const auto *Text = std::get_if<std::string_view>(&Field.Value)) {
+    Out += '"';
+    appendEscaped(Out, *Text);
+    Out += '"';
+  } else if (const auto *Whole = std::get_if<std::int64_t>(&Field.Value)) {
+    fmt::format_to(std::back_inserter(Out), "{}", *Whole);
+  } else {
+    fmt::format_to(std::back_inserter(Out), "{:.3f}",
+                   std::get<double>(Field.Value));
+  }
+}
+
+} // namespace
+
+EventLog::EventLog(int Descriptor, double LinesPerSecond, const Clock &Time)
+    : Descriptor(Descriptor), LinesPerSecond(LinesPerSecond), Time(Time),
+      Tokens(LinesPerSecond * BurstSeconds) {
+  const int Flags = ::fcntl(Descriptor, F_GETFL);
+  if (Flags >= 0)
+    ::fcntl(Descriptor, F_SETFL, Flags | O_NONBLOCK);
+  Refilled = Time.now();
+}
+
+void EventLog::write(std::string_view Event,
+                     std::initializer_list<EventField> Fields) {
+  const std::lock_guard<std::mutex> Lock(Mutex);
+  const TimePoint Now = Time.now();
+  Tokens = std::min(
+      LinesPerSecond * BurstSeconds,
+      Tokens + LinesPerSecond *
+                   std::chrono::duration<double>(Now - Refilled).count());
+  Refilled = Now;
+  if (Tokens < 1 || Buffer.size() > MaxBufferedBytes) {
+    ++Dropped;
+    return;
+  }
+  Tokens -= 1;
+  if (Dropped > 0) {
+    const auto Lost = static_cast<std::int64_t>(Dropped);
+    Dropped = 0;
+    append("log_lines_dropped", {{"lines", Lost}});
+  }
+  append(Event, Fields);
+}
+
+void EventLog::append(std::string_view Event,
+                      std::initializer_list<EventField> Fields) {
+  const auto Wall = std::chrono::duration_cast<Milliseconds>(
+      Time.wallNow().time_since_epoch());
+  fmt::format_to(std::back_inserter(Buffer),
+                 "{{\"time_ms\":{},\"event\":\"{}\"", Wall.count(), Event);
+  for (const EventField &Field : Fields) {
+    fmt::format_to(std::back_inserter(Buffer), ",\"{}\":", Field.Name);
+    appendValue(Buffer, Field);
+  }
+  Buffer += "}\n";
+}
+
+void EventLog::flush() {
+  const std::lock_guard<std::mutex> Lock(Mutex);
+  if (Buffer.empty())
+    return;
+  const ssize_t Written = ::write(Descriptor, Buffer.data(), Buffer.size());
+  if (Written > 0)
+    Buffer.erase(0, static_cast<std::size_t>(Written));
+}
+
+} // namespace mallowglade::dataplane
--- /dev/null
+++ b/src/dataplane/node_settings.cpp
@@ -0,0 +1,87 @@
+#include <mallowglade/detail/dataplane/node_settings.hpp>
+
+#include <mallowglade/detail/settings/json_reader.hpp>
+
+#include <fmt/format.h>
+
+namespace mallowglade::dataplane {
+
+namespace {
+
+constexpr std::int64_t BytesPerMegabyte = 1'000'000;
+constexpr std::int64_t MaxMegabytes = 1 << 20;
+constexpr std::int64_t MaxDescriptors = 1 << 20;
+constexpr std::int64_t MaxMilliseconds = 3'600'000;
+constexpr std::int64_t MaxSeconds = 86'400;
+constexpr std::int64_t MaxPort = 65'535;
+constexpr double MaxRatio = 10;
+constexpr double MaxSlack = 1e6;
+
+std::string portAddress(JsonReader &Peers, const std::string &Host,
+                        std::int64_t Port) {
+  if (Port > MaxPort)
+    Peers.fail(ErrorId::OutOfRange, "first_port", "no second port is left");
+  return fmt::format("{}:{}", Host, Port);
+}
+
+void readListen(JsonReader Listen, NodeSettings &Settings) {
+  Settings.CallerListen = Listen.address("callers");
+  Settings.ReadinessListen = Listen.address("readiness");
+  if (Listen.has("addresses") && !Listen.text("addresses", "").empty())
+    Settings.AddressesListen = Listen.address("addresses");
+  Listen.finish();
+}
+
+void readPeers(JsonReader Peers, NodeSettings &Settings) {
+  const std::string Host = Peers.text("ip");
+  const std::int64_t Port = Peers.integer("first_port", 1, MaxPort);
+  Settings.PeerListen = portAddress(Peers, Host, Port);
+  Settings.MetricsListen = portAddress(Peers, Host, Port + 1);
+  Peers.finish();
+}
+
+void readRetries(JsonReader Retries, NodeSettings &Settings) {
+  Settings.Retries.Ratio = Retries.number("ratio", 0, MaxRatio);
+  Settings.Retries.Slack = Retries.number("slack", 0, MaxSlack);
+  Settings.Retries.Window =
+      std::chrono::seconds(Retries.integer("window_s", 1, MaxSeconds));
+  Retries.finish();
+}
+
+void readLimits(JsonReader Limits, NodeSettings &Settings) {
+  Settings.MemoryBytes = static_cast<std::size_t>(
+      Limits.integer("memory_mb", 1, MaxMegabytes) * BytesPerMegabyte);
+  Settings.Descriptors = static_cast<std::size_t>(
+      Limits.integer("descriptors", 1, MaxDescriptors));
+  Limits.finish();
+}
+
+} // namespace
+
+Result<NodeSettings> parseNodeSettings(const std::string &Text) {
+  const Result<nlohmann::json> Document = parseJson(Text);
+  if (!isOk(Document))
+    return errorOf(Document);
+  std::optional<Error> FirstError;
+  NodeSettings Settings;
+  JsonReader Root(valueOf(Document), "", FirstError);
+  Settings.Name = Root.text("name");
+  Settings.Zone = ZoneId(Root.text("availability_zone"));
+  Settings.StoreAddress = Root.address("store");
+  Settings.CredentialFreshness =
+      Milliseconds(Root.integer("credential_freshness_ms", 1, MaxMilliseconds));
+  Settings.StopGrace =
+      std::chrono::seconds(Root.integer("stop_grace_s", 1, MaxSeconds));
+  Settings.MaxAddressTtl =
+      std::chrono::seconds(Root.integer("max_address_ttl_s", 1, MaxSeconds));
+  readListen(Root.object("listen"), Settings);
+  readPeers(Root.object("peers"), Settings);
+  readRetries(Root.object("retries"), Settings);
+  readLimits(Root.object("limits"), Settings);
+  Root.finish();
+  if (FirstError)
+    return *FirstError;
+  return Settings;
+}
+
+} // namespace mallowglade::dataplane
--- /dev/null
+++ b/src/dataplane/peer_message.cpp
@@ -0,0 +1,84 @@
+#include <mallowglade/detail/dataplane/peer_message.hpp>
+
+#include <mallowglade/detail/core/unpack_limit.hpp>
+
+#include <msgpack.hpp>
+
+#include <cmath>
+#include <tuple>
+#include <vector>
+
+namespace mallowglade::dataplane {
+
+namespace {
+
+/// Raised when the layout changes, so that versions of the program can mix.
+constexpr unsigned FormatVersion = 1;
+
+using LoadRow =
+    std::tuple<std::uint64_t, std::uint32_t, std::uint32_t, std::uint32_t>;
+using UsageRow = std::tuple<std::uint64_t, std::uint32_t, std::uint32_t>;
+using Layout = std::tuple<unsigned, std::string, std::uint64_t, std::uint64_t,
+                          std::string, bool, std::uint64_t,
+                          std::vector<LoadRow>, std::vector<UsageRow>>;
+
+std::uint32_t whole(double Value) {
+  constexpr double Most = 4e9;
+  return static_cast<std::uint32_t>(
+      std::lround(std::min(std::max(Value, 0.0), Most)));
+}
+
+} // namespace
+
+std::string encodeReport(const PeerReport &Report) {
+  Layout Out;
+  auto &[Format, Sender, Incarnation, Sequence, Address, Ready, Version, Loads,
+         Usage] = Out;
+  Format = FormatVersion;
+  Sender = Report.Sender.Value;
+  Incarnation = Report.Incarnation;
+  Sequence = Report.Sequence;
+  Address = Report.CallerAddress;
+  Ready = Report.Ready;
+  Version = Report.Config.Value;
+  for (const auto &[Key, Load] : Report.Loads)
+    Loads.emplace_back(Key.Value, whole(Load.Running), whole(Load.UnreadPrompt),
+                       whole(Load.KvTokens));
+  for (const auto &[Key, Used] : Report.Usage)
+    Usage.emplace_back(Key.Value, whole(Used.Asked), whole(Used.Admitted));
+  msgpack::sbuffer Buffer;
+  msgpack::pack(Buffer, Out);
+  return {Buffer.data(), Buffer.size()};
+}
+
+Result<PeerReport> decodeReport(std::string_view Datagram) {
+  try {
+    const msgpack::object_handle Handle =
+        msgpack::unpack(Datagram.data(), Datagram.size(), nullptr, nullptr,
+                        detail::unpackLimit(Datagram.size()));
+    Layout In;
+    Handle.get().convert(In);
+    const auto &[Format, Sender, Incarnation, Sequence, Address, Ready, Version,
+                 Loads, Usage] = In;
+    if (Format != FormatVersion || Sender.empty())
+      return Error{
+          ErrorId::InvalidMessage, "unknown format of a peer report", {}};
+    PeerReport Report;
+    Report.Sender = RouterId(Sender);
+    Report.Incarnation = Incarnation;
+    Report.Sequence = Sequence;
+    Report.CallerAddress = Address;
+    Report.Ready = Ready;
+    Report.Config = ConfigurationVersion(Version);
+    for (const auto &[Key, Running, Unread, Kv] : Loads)
+      Report.Loads[UpstreamKey(Key)] = {double(Running), double(Unread),
+                                        double(Kv)};
+    for (const auto &[Key, Asked, Admitted] : Usage)
+      Report.Usage[WorkspaceKey(Key)] = {double(Asked), double(Admitted)};
+    return Report;
+  } catch (const std::exception &Failure) {
+    return Error{ErrorId::InvalidMessage, Failure.what(), {}};
+  }
+}
+
+} // namespace mallowglade::dataplane
--- /dev/null
+++ b/src/dataplane/placement.cpp
@@ -0,0 +1,134 @@
+#include <mallowglade/detail/dataplane/placement.hpp>
+
+#include <algorithm>
+
+namespace mallowglade::dataplane {
+
+namespace {
+
+/// Upstreams of an affinity key that are tried before the least loaded one.
+constexpr std::size_t AffinityRanks = 2;
+/// Part of the latency objective that unread prompts may take.
+constexpr double PromptShareOfObjective = 0.5;
+/// A prompt larger than the window is sent once the backlog is below this
+/// part of the window.
+constexpr double LargePromptBacklog = 0.2;
+/// An engine reads a prompt about this many times faster than its share of the
+/// stated capacity, which also covers generation.
+constexpr double ReadingOverCapacity = 2.0;
+/// Reading rate assumed when no capacity is stated.
+constexpr double DefaultPromptTokensPerMs = 40;
+/// Part of an engine's memory that requests may claim.
+constexpr double KvFill = 0.9;
+/// Load below which capacity counts as spare.
+constexpr double SpareSlots = 0.6;
+
+} // namespace
+
+UpstreamLoad WorkEstimate::load(bool PartsKept) const {
+  UpstreamLoad Load;
+  Load.Running = 1;
+  Load.UnreadPrompt = UncachedPrompt + (PartsKept ? 0 : SharedPrompt);
+  Load.KvTokens = UncachedPrompt + SharedPrompt + OutputTokens;
+  return Load;
+}
+
+void Placement::configure(const Configuration &Current) {
+  Config = &Current;
+  std::size_t Engines = 0;
+  for (const Service &Each : Current.Services)
+    if (Each.Engine)
+      Engines += Table.ofService(Each.Name).size();
+  if (Current.Limits.TokensPerSecond <= 0 || Engines == 0) {
+    PromptTokensPerMs = DefaultPromptTokensPerMs;
+    return;
+  }
+  constexpr double MillisecondsPerSecond = 1'000;
+  PromptTokensPerMs = ReadingOverCapacity * Current.Limits.TokensPerSecond /
+                      static_cast<double>(Engines) / MillisecondsPerSecond;
+}
+
+bool Placement::usable(const UpstreamState &Upstream,
+                       const PlacementQuery &Query) const {
+  return Upstream.Record.Ready && Upstream.AvoidUntil <= Time.now() &&
+         !Query.Excluded.contains(Upstream.Record.Id);
+}
+
+bool Placement::anyUsable(const ServiceId &Name) const {
+  const auto &All = Table.ofService(Name);
+  return std::any_of(All.begin(), All.end(), [](const UpstreamState *State) {
+    return State->Record.Ready;
+  });
+}
+
+bool Placement::fits(const UpstreamState &Upstream, const PlacementQuery &Query,
+                     bool PartsKept) const {
+  const UpstreamLoad Now = Upstream.total();
+  const double Slots = std::max(1U, Upstream.Record.Slots);
+  if (Now.Running + 1 > Slots)
+    return false;
+  const Service *Kind = Config->serviceOf(Query.Service);
+  if (Kind == nullptr || !Kind->Engine)
+    return true;
+  const UpstreamLoad More = Query.Work.load(PartsKept);
+  if (Now.Running > 0 &&
+      Now.KvTokens + More.KvTokens > KvFill * Kind->Engine->KvCapacityTokens)
+    return false;
+  const double Window = PromptTokensPerMs * PromptShareOfObjective *
+                        static_cast<double>(Query.LatencyObjective.count());
+  return Now.UnreadPrompt + More.UnreadPrompt <= Window ||
+         Now.UnreadPrompt <= LargePromptBacklog * Window;
+}
+
+PlacementChoice Placement::choose(const PlacementQuery &Query) const {
+  if (Config == nullptr)
+    return {};
+  if (!Query.Affinity)
+    return leastLoaded(Query);
+  const auto &All = Table.ofService(Query.Service);
+  std::vector<std::pair<std::uint64_t, UpstreamState *>> Ranked;
+  Ranked.reserve(All.size());
+  for (UpstreamState *State : All)
+    if (usable(*State, Query))
+      Ranked.emplace_back(
+          stableHash({reinterpret_cast<const char *>(&State->Key.Value),
+                      sizeof(State->Key.Value)},
+                     *Query.Affinity),
+          State);
+  const std::size_t Tried = std::min(AffinityRanks, Ranked.size());
+  std::partial_sort(Ranked.begin(),
+                    Ranked.begin() + static_cast<std::ptrdiff_t>(Tried),
+                    Ranked.end(), [](const auto &Left, const auto &Right) {
+                      return Left.first > Right.first;
+                    });
+  for (std::size_t Rank = 0; Rank < Tried; ++Rank)
+    if (fits(*Ranked[Rank].second, Query, Rank == 0))
+      return {Ranked[Rank].second, Rank == 0};
+  return leastLoaded(Query);
+}
+
+PlacementChoice Placement::leastLoaded(const PlacementQuery &Query) const {
+  PlacementChoice Best;
+  double BestScore = 0;
+  for (UpstreamState *State : Table.ofService(Query.Service)) {
+    if (!usable(*State, Query) || !fits(*State, Query, false))
+      continue;
+    const UpstreamLoad Now = State->total();
+    const double Slots = std::max(1U, State->Record.Slots);
+    // The own zone wins between upstreams of equal load.
+    const double Score = Now.Running / Slots + Now.UnreadPrompt / 10'000 +
+                         (State->Record.Zone == Zone ? 0 : 0.5 / Slots);
+    if (Best.Upstream == nullptr || Score < BestScore) {
+      Best.Upstream = State;
+      BestScore = Score;
+    }
+  }
+  return Best;
+}
+
+bool Placement::hasSpare(const UpstreamState &Upstream) const {
+  const double Slots = std::max(1U, Upstream.Record.Slots);
+  return Upstream.total().Running < SpareSlots * Slots;
+}
+
+} // namespace mallowglade::dataplane
--- a/src/router/event_stream.cpp
+++ b/src/http1/event_stream.cpp
@@ -1,4 +1,4 @@
-#include <mallowglade/detail/router/event_stream.hpp>
+#include <mallowglade/detail/http1/event_stream.hpp>
 
 #include <nlohmann/json.hpp>
 
--- /dev/null
+++ b/src/http1/server.cpp
@@ -0,0 +1,89 @@
+#include <mallowglade/detail/http1/server.hpp>
+
+#include <asio/io_context.hpp>
+
+#include <vector>
+
+namespace mallowglade::http1 {
+
+namespace {
+
+constexpr int ListenBacklog = 1'024;
+/// Pause after `accept` failed for want of descriptors or memory.
+constexpr std::chrono::milliseconds AcceptRetryDelay{50};
+
+} // namespace
+
+Http1Server::Http1Server(asio::io_context &Context,
+                         const asio::ip::tcp::endpoint &Address,
+                         ServerLimits Limits, RequestHandler Handler)
+    : Context(Context), Address(Address), Acceptor(Context),
+      RetryTimer(Context), Limits(Limits), Handler(std::move(Handler)) {}
+
+Http1Server::~Http1Server() {
+  const std::vector<ServerConnection *> All(Open.begin(), Open.end());
+  for (ServerConnection *Connection : All)
+    Connection->close();
+}
+
+std::error_code Http1Server::listen() {
+  std::error_code Error;
+  Acceptor.open(Address.protocol(), Error);
+  if (!Error)
+    Acceptor.set_option(asio::socket_base::reuse_address(true), Error);
+  if (!Error)
+    Acceptor.bind(Address, Error);
+  if (!Error)
+    Acceptor.listen(ListenBacklog, Error);
+  if (!Error)
+    accept();
+  return Error;
+}
+
+void Http1Server::accept() {
+  Acceptor.async_accept(
+      [this](std::error_code Error, asio::ip::tcp::socket Socket) {
+        if (Error == asio::error::operation_aborted)
+          return;
+        if (Error) {
+          RetryTimer.expires_after(AcceptRetryDelay);
+          RetryTimer.async_wait([this](std::error_code Stopped) {
+            if (!Stopped && Acceptor.is_open())
+              accept();
+          });
+          return;
+        }
+        if (Open.size() >= Limits.MaxConnections) {
+          ++Counters.RefusedConnections;
+        } else {
+          ++Counters.Accepted;
+          std::make_shared<ServerConnection>(std::move(Socket), *this)->start();
+        }
+        if (Acceptor.is_open())
+          accept();
+      });
+}
+
+void Http1Server::drain() { Draining = true; }
+
+void Http1Server::closeIdle() {
+  const std::vector<ServerConnection *> All(Open.begin(), Open.end());
+  for (ServerConnection *Connection : All)
+    if (Connection->idle())
+      Connection->drain();
+}
+
+void Http1Server::stopListening() {
+  std::error_code Ignored;
+  Acceptor.close(Ignored);
+}
+
+std::size_t Http1Server::busyConnections() const {
+  std::size_t Busy = 0;
+  for (const ServerConnection *Connection : Open)
+    if (!Connection->idle())
+      ++Busy;
+  return Busy;
+}
+
+} // namespace mallowglade::http1
--- /dev/null
+++ b/src/http1/upstream_connection.cpp
@@ -0,0 +1,279 @@
+#include <mallowglade/detail/http1/upstream_connection.hpp>
+
+#include <asio/buffer.hpp>
+#include <asio/io_context.hpp>
+#include <asio/write.hpp>
+
+#include <netinet/tcp.h>
+
+#include <array>
+
+namespace mallowglade::http1 {
+
+namespace {
+
+constexpr std::size_t ReadBytes = 16 * 1024;
+constexpr std::size_t MaxHeadBytes = 16 * 1024;
+constexpr unsigned FirstFinalStatus = 200;
+/// Probes of the operating system on a connection without traffic.
+constexpr int KeepAliveIdleSeconds = 1;
+constexpr int KeepAliveIntervalSeconds = 1;
+constexpr int KeepAliveProbes = 2;
+
+void setOption(asio::ip::tcp::socket &Socket, int Name, int Value) {
+  ::setsockopt(Socket.native_handle(), IPPROTO_TCP, Name, &Value,
+               sizeof(Value));
+}
+
+void configure(asio::ip::tcp::socket &Socket, const UpstreamTimeouts &Limits) {
+  std::error_code Ignored;
+  Socket.set_option(asio::ip::tcp::no_delay(true), Ignored);
+  Socket.set_option(asio::socket_base::keep_alive(true), Ignored);
+  setOption(Socket, TCP_KEEPIDLE, KeepAliveIdleSeconds);
+  setOption(Socket, TCP_KEEPINTVL, KeepAliveIntervalSeconds);
+  setOption(Socket, TCP_KEEPCNT, KeepAliveProbes);
+  setOption(Socket, TCP_USER_TIMEOUT,
+            static_cast<int>(Limits.Unacknowledged.count()));
+  Socket.non_blocking(true, Ignored);
+}
+
+} // namespace
+
+UpstreamConnection::UpstreamConnection(asio::io_context &Context,
+                                       const asio::ip::tcp::endpoint &Address,
+                                       std::string AttemptHeader,
+                                       UpstreamTimeouts Timeouts)
+    : Address(Address), AttemptHeader(std::move(AttemptHeader)),
+      Timeouts(Timeouts), Socket(Context), Timer(Context),
+      Parser(HTTP_RESPONSE, MaxHeadBytes, *this) {}
+
+bool UpstreamConnection::reusable() const {
+  return Connected && !Closed && KeepAlive && !Observer && Written;
+}
+
+void UpstreamConnection::send(std::string Request, std::string Id,
+                              bool WithoutBody,
+                              std::shared_ptr<ExchangeObserver> Receiver) {
+  Message = std::move(Request);
+  AttemptId = std::move(Id);
+  NoBody = WithoutBody;
+  Observer = std::move(Receiver);
+  OnClosed = nullptr;
+  Written = AnyByteSent = Foreign = Paused = false;
+  ++Requests;
+  Parser.reset(NoBody);
+  if (Connected)
+    writeRequest();
+  else
+    connect();
+}
+
+void UpstreamConnection::connect() {
+  Timer.expires_after(Timeouts.Connect);
+  Timer.async_wait([Weak = weak_from_this()](std::error_code Error) {
+    const auto Self = Weak.lock();
+    if (!Error && Self && !Self->Connected)
+      Self->fail(ExchangeFailure::NotConnected);
+  });
+  Socket.async_connect(Address,
+                       [Self = shared_from_this()](std::error_code Error) {
+                         Self->onConnected(Error);
+                       });
+}
+
+void UpstreamConnection::onConnected(std::error_code Error) {
+  if (Closed)
+    return;
+  if (Error) {
+    fail(ExchangeFailure::NotConnected);
+    return;
+  }
+  Connected = true;
+  Timer.cancel();
+  configure(Socket, Timeouts);
+  writeRequest();
+}
+
+void UpstreamConnection::writeRequest() {
+  std::error_code Error;
+  const std::size_t Size = Socket.write_some(asio::buffer(Message), Error);
+  if (Error && Error != asio::error::would_block) {
+    fail(Requests > 1 ? ExchangeFailure::ClosedBeforeUse
+                      : ExchangeFailure::Interrupted);
+    return;
+  }
+  AnyByteSent = true;
+  read();
+  if (!Error && Size == Message.size()) {
+    Message.clear();
+    Written = true;
+    return;
+  }
+  Message.erase(0, Error ? 0 : Size);
+  asio::async_write(
+      Socket, asio::buffer(Message),
+      [Self = shared_from_this()](std::error_code Failed, std::size_t) {
+        if (Self->Closed)
+          return;
+        Self->Message.clear();
+        if (Failed)
+          Self->fail(ExchangeFailure::Interrupted);
+        else
+          Self->Written = true;
+      });
+}
+
+void UpstreamConnection::read() {
+  if (Reading || Closed || Paused)
+    return;
+  Reading = true;
+  Socket.async_wait(asio::ip::tcp::socket::wait_read,
+                    [Self = shared_from_this()](std::error_code Error) {
+                      Self->Reading = false;
+                      if (!Self->Closed)
+                        Self->onReadable(Error);
+                    });
+}
+
+void UpstreamConnection::onReadable(std::error_code Error) {
+  std::array<char, ReadBytes> Bytes;
+  std::size_t Size = 0;
+  if (!Error)
+    Size = Socket.read_some(asio::buffer(Bytes), Error);
+  if (Error == asio::error::would_block) {
+    read();
+    return;
+  }
+  if (Error) {
+    onEnd(Error);
+    return;
+  }
+  const auto Self = shared_from_this();
+  consume({Bytes.data(), Size});
+  if (!Closed)
+    read();
+}
+
+void UpstreamConnection::consume(std::string_view Data) {
+  while (!Data.empty() && !Closed) {
+    if (!Observer) {
+      // Bytes after a complete answer belong to no request.
+      closeSocket();
+      return;
+    }
+    const std::size_t Taken = Parser.feed(Data);
+    if (Closed)
+      return;
+    Data.remove_prefix(Taken);
+    if (Parser.error() != ParseError::None) {
+      fail(ExchangeFailure::Malformed);
+      return;
+    }
+    if (Parser.complete()) {
+      if (!Data.empty())
+        KeepAlive = false;
+      messageComplete();
+    } else if (Taken == 0) {
+      fail(ExchangeFailure::Malformed);
+    }
+  }
+}
+
+void UpstreamConnection::onHead() {
+  ResponseHead &Head = Parser.response();
+  if (Head.Status < FirstFinalStatus)
+    return;
+  const std::string *Id = Head.Headers.find(AttemptHeader);
+  Foreign = Id != nullptr && *Id != AttemptId;
+  if (Foreign)
+    return;
+  KeepAlive = Head.KeepAlive;
+  if (const auto Seconds = keepAliveSeconds(Head.Headers))
+    IdleLimit = std::chrono::seconds(*Seconds);
+  const auto Receiver = Observer;
+  if (Receiver)
+    Receiver->onResponseHead(Head);
+}
+
+void UpstreamConnection::onBody(std::string_view Data) {
+  const auto Receiver = Observer;
+  if (Receiver && !Foreign)
+    Receiver->onResponseBody(Data);
+}
+
+void UpstreamConnection::messageComplete() {
+  const bool Interim = Parser.response().Status < FirstFinalStatus;
+  if (Interim || Foreign) {
+    Foreign = false;
+    KeepAlive = true;
+    Parser.reset(NoBody);
+    return;
+  }
+  IdleSince = std::chrono::steady_clock::now();
+  Parser.reset();
+  const auto Receiver = std::move(Observer);
+  Observer = nullptr;
+  if (!KeepAlive || !Written)
+    closeSocket();
+  if (Receiver)
+    Receiver->onResponseEnd();
+}
+
+void UpstreamConnection::onEnd(std::error_code Error) {
+  if (!Observer) {
+    closeSocket();
+    return;
+  }
+  const bool Orderly = Error == asio::error::eof;
+  const bool Delimited = Parser.headComplete() && !Foreign &&
+                         Parser.response().Framing == BodyFraming::UntilClose;
+  if (Orderly && Delimited && Parser.feedEnd()) {
+    KeepAlive = false;
+    messageComplete();
+    return;
+  }
+  fail(ExchangeFailure::Interrupted);
+}
+
+void UpstreamConnection::fail(ExchangeFailure Failure) {
+  const auto Receiver = std::move(Observer);
+  Observer = nullptr;
+  closeSocket();
+  if (Receiver)
+    Receiver->onExchangeFailed(Failure);
+}
+
+void UpstreamConnection::cancel() {
+  Observer = nullptr;
+  closeSocket();
+}
+
+void UpstreamConnection::closeSocket() {
+  if (Closed)
+    return;
+  Closed = true;
+  Timer.cancel();
+  std::error_code Ignored;
+  Socket.close(Ignored);
+  if (OnClosed) {
+    const auto Notify = std::move(OnClosed);
+    OnClosed = nullptr;
+    Notify();
+  }
+}
+
+void UpstreamConnection::pause() { Paused = true; }
+
+void UpstreamConnection::resume() {
+  if (!Paused)
+    return;
+  Paused = false;
+  read();
+}
+
+void UpstreamConnection::watchIdle(std::function<void()> Notify) {
+  OnClosed = std::move(Notify);
+  read();
+}
+
+} // namespace mallowglade::http1
