Limit the work sent to each engine and fetch shared prompt parts

Change: routers report decayed work per engine; placement stops at a share of the reading rate worked out from the stated capacity; unread prompts are bounded by the most urgent route of the service; an engine that is not the home of a prompt fetches its shared parts from there; resumed streams skip the share check; a stopping router refuses streams after 1.2 s and the rest after 2.7 s.

--- a/include/mallowglade/detail/dataplane/admission.hpp
+++ b/include/mallowglade/detail/dataplane/admission.hpp
@@ -42,6 +42,8 @@
   WorkspaceKey Who;
   /// False for requests without a workspace.
   bool HasWorkspace = false;
+  /// True for a request that was sent before; it goes before all others.
+  bool Continues = false;
   /// Tokens that count against the workspace's share.
   double ShareTokens = 0;
   unsigned Priority = 0;
--- a/include/mallowglade/detail/dataplane/configuration.hpp
+++ b/include/mallowglade/detail/dataplane/configuration.hpp
@@ -60,6 +60,8 @@
   double KvCapacityTokens = 0;
   /// Tokens in one stream event.
   double TokensPerEvent = 1;
+  /// Upstreams can fetch cached prompt parts from each other.
+  bool FetchesParts = false;
 };
 
 /// @brief A group of interchangeable upstreams.
--- a/include/mallowglade/detail/dataplane/node_settings.hpp
+++ b/include/mallowglade/detail/dataplane/node_settings.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <mallowglade/core.hpp>
+#include <mallowglade/detail/dataplane/placement.hpp>
 #include <mallowglade/detail/dataplane/retry_allowance.hpp>
 
 #include <string>
@@ -30,6 +31,7 @@
   /// Longest time that callers keep an answer with addresses.
   std::chrono::seconds MaxAddressTtl{};
   RetryBounds Retries;
+  PlacementSettings Placing;
   std::size_t MemoryBytes = 0;
   std::size_t Descriptors = 0;
 };
--- a/include/mallowglade/detail/dataplane/placement.hpp
+++ b/include/mallowglade/detail/dataplane/placement.hpp
@@ -37,6 +37,21 @@
   UpstreamState *Upstream = nullptr;
   /// True if the upstream is expected to keep the shared parts.
   bool PartsKept = false;
+  /// Upstream that it should fetch the shared parts from; null for none.
+  const UpstreamState *FetchFrom = nullptr;
+};
+
+/// @brief How far engines are filled.
+struct PlacementSettings {
+  /// Part of an engine's reading rate that requests may claim over
+  /// `RecentSpan`; the rest keeps the pace of running streams.
+  double WorkShare = 0.9;
+  /// Part of the work limit below which capacity counts as spare.
+  double SpareWork = 0.75;
+  /// Part of the shortest latency objective that unread prompts may take.
+  double PromptWindow = 0.35;
+  /// Upstreams of an affinity key that are tried before the least loaded one.
+  unsigned AffinityRanks = 2;
 };
 
 /// @brief Chooses upstreams so that prompt parts are read once and no upstream
@@ -48,17 +63,19 @@
 class Placement {
 public:
   /// @param Zone availability zone of this router
-  Placement(UpstreamTable &Table, const Clock &Time, ZoneId Zone)
-      : Table(Table), Time(Time), Zone(std::move(Zone)) {}
+  Placement(UpstreamTable &Table, const Clock &Time, ZoneId Zone,
+            const PlacementSettings &Settings)
+      : Table(Table), Time(Time), Zone(std::move(Zone)), Settings(Settings) {}
 
   /// @brief Takes the profile that the rates are worked out from.
-  /// @param TokensPerSecond capacity of all engines together; 0 if unknown
   void configure(const Configuration &Config);
   /// @brief Finds an upstream that can take a request now.
   /// @return the choice; `Upstream` is null if all are full
   PlacementChoice choose(const PlacementQuery &Query) const;
   /// @brief Tells whether an upstream has capacity to spare.
   bool hasSpare(const UpstreamState &Upstream) const;
+  /// @return largest work that an engine should be given in `RecentSpan`
+  double workLimit() const { return WorkLimit; }
   /// @return true if the service has an upstream that may take work at all
   bool anyUsable(const ServiceId &Name) const;
 
@@ -67,13 +84,18 @@
   bool fits(const UpstreamState &Upstream, const PlacementQuery &Query,
             bool PartsKept) const;
   PlacementChoice leastLoaded(const PlacementQuery &Query) const;
+  bool canFetch(const ServiceId &Name) const;
 
   UpstreamTable &Table;
   const Clock &Time;
   ZoneId Zone;
+  PlacementSettings Settings;
+  /// Shortest latency objective of the routes to each service.
+  std::unordered_map<ServiceId, Milliseconds> ShortestObjective;
   const Configuration *Config = nullptr;
   /// Prompt tokens that an engine reads in a millisecond.
   double PromptTokensPerMs = 0;
+  double WorkLimit = 0;
 };
 
 } // namespace mallowglade::dataplane
--- a/include/mallowglade/detail/dataplane/request_run.hpp
+++ b/include/mallowglade/detail/dataplane/request_run.hpp
@@ -66,6 +66,8 @@
   AttemptHistory History;
   std::shared_ptr<http1::UpstreamConnection> Connection;
   UpstreamRecord Target;
+  /// Upstream that the target fetches shared prompt parts from, `ip:port`.
+  std::string FetchPartsFrom;
   UpstreamLoad Counted;
   TimePoint SentAt{};
   Mode Reading = Mode::Waiting;
--- a/include/mallowglade/detail/dataplane/traffic.hpp
+++ b/include/mallowglade/detail/dataplane/traffic.hpp
@@ -68,6 +68,8 @@
   TrafficReport report();
   /// @brief Ends idle connections and asks callers of busy ones to leave.
   void drain();
+  /// @brief Refuses new requests for streams; others are still served.
+  void refuseStreams() { RefusingStreams = true; }
   /// @brief Refuses new requests; those at upstreams go on.
   void refuseNew();
   const TrafficCounters &counters() const { return Counters; }
@@ -105,6 +107,7 @@
   asio::steady_timer Ticker;
   bool PumpScheduled = false;
   bool Refusing = false;
+  bool RefusingStreams = false;
 };
 
 } // namespace mallowglade::dataplane
--- a/include/mallowglade/detail/dataplane/upstream_table.hpp
+++ b/include/mallowglade/detail/dataplane/upstream_table.hpp
@@ -20,11 +20,16 @@
   double UnreadPrompt = 0;
   /// Memory in tokens that the requests will need.
   double KvTokens = 0;
+  /// Work sent lately in prompt tokens; decays with `RecentSpan`.
+  double RecentWork = 0;
 
   UpstreamLoad &operator+=(const UpstreamLoad &Other);
   UpstreamLoad &operator-=(const UpstreamLoad &Other);
 };
 
+/// @brief Time in which recent work decays to a third.
+inline constexpr Milliseconds RecentSpan{1'500};
+
 /// @brief Loads by upstream as one router sees them.
 using LoadTable = std::unordered_map<UpstreamKey, UpstreamLoad>;
 
@@ -40,8 +45,12 @@
   TimePoint AvoidUntil{};
   /// Failures since the last answer.
   unsigned FailuresInARow = 0;
+  /// When `Own.RecentWork` and `Peers.RecentWork` were last brought up to date.
+  TimePoint OwnDecayedAt{};
+  TimePoint PeersDecayedAt{};
 
-  UpstreamLoad total() const;
+  /// @return work of all routers at a point in time
+  UpstreamLoad total(TimePoint Now) const;
 };
 
 /// @brief The upstreams and the work at them; owned by the traffic thread.
@@ -67,7 +76,7 @@
   /// @brief Notes an answer.
   void answered(const UpstreamId &Id);
   /// @return loads of this router, for the other routers
-  LoadTable ownLoads() const;
+  LoadTable ownLoads();
 
 private:
   const Clock &Time;
--- a/include/mallowglade/detail/dataplane/wire_protocol.hpp
+++ b/include/mallowglade/detail/dataplane/wire_protocol.hpp
@@ -52,6 +52,9 @@
   Milliseconds TimeLeft{};
   UpstreamId ExpectedUpstream;
   WorkspaceId Workspace;
+  /// Address of an upstream that keeps the shared prompt parts, `ip:port`;
+  /// empty for none.
+  std::string FetchPartsFrom;
   /// Event after which a resumed stream goes on; empty for none.
   std::string LastEventId;
 };
--- a/src/dataplane/admission.cpp
+++ b/src/dataplane/admission.cpp
@@ -56,8 +56,8 @@
     Request->refuse(Refusal::NoUpstream, retryAfter(Refusal::NoUpstream));
     return;
   }
-  const bool Beyond =
-      Request->HasWorkspace && !Shares.withinShare(Request->Who);
+  const bool Beyond = Request->HasWorkspace && !Request->Continues &&
+                      !Shares.withinShare(Request->Who);
   if (Beyond) {
     const PlacementChoice Where = Places.choose(Request->Query);
     if (Where.Upstream != nullptr && Places.hasSpare(*Where.Upstream)) {
@@ -82,13 +82,15 @@
   const PlacementChoice Where = Places.choose(Request.Query);
   if (Where.Upstream == nullptr)
     return false;
-  if (Request.HasWorkspace)
+  if (Request.HasWorkspace && !Request.Continues)
     Shares.admitted(Request.Who, Request.ShareTokens);
   Request.place(Where);
   return true;
 }
 
 bool Admission::precedes(const Waiter &Left, const Waiter &Right) const {
+  if (Left.Continues != Right.Continues)
+    return Left.Continues;
   if (Left.Priority != Right.Priority)
     return Left.Priority < Right.Priority;
   return Left.Arrived < Right.Arrived;
@@ -105,7 +107,9 @@
   std::vector<Ranked> Order;
   Order.reserve(Queue.size());
   for (const auto &Each : Queue)
-    Order.push_back({Each->HasWorkspace ? Shares.fillOf(Each->Who) : 0, Each});
+    Order.push_back(
+        {Each->HasWorkspace && !Each->Continues ? Shares.fillOf(Each->Who) : 0,
+         Each});
   std::stable_sort(Order.begin(), Order.end(),
                    [this](const Ranked &Left, const Ranked &Right) {
                      if (Left.Fill != Right.Fill)
--- a/src/dataplane/fair_share.cpp
+++ b/src/dataplane/fair_share.cpp
@@ -73,14 +73,21 @@
     return;
   }
   UsageTable Fleet = ownUsage();
-  for (const auto &[Who, Usage] : Peers)
+  for (const auto &[Who, Usage] : Peers) {
     Fleet[Who].Asked += Usage.Asked;
+    Fleet[Who].Admitted += Usage.Admitted;
+  }
   std::vector<double> Asked;
   Asked.reserve(Fleet.size());
-  for (const auto &[Who, Usage] : Fleet)
+  double Admitted = 0;
+  for (const auto &[Who, Usage] : Fleet) {
     Asked.push_back(Usage.Asked);
+    Admitted += Usage.Admitted;
+  }
+  // Cached prompts let the pool do more than is stated.
   const double Capacity =
-      TokensPerSecond * std::chrono::duration<double>(Window).count();
+      std::max(Admitted,
+               TokensPerSecond * std::chrono::duration<double>(Window).count());
   Level = maxMinLevel(std::move(Asked), Capacity);
 }
 
--- a/src/dataplane/node.cpp
+++ b/src/dataplane/node.cpp
@@ -19,7 +19,9 @@
 constexpr double LogLinesPerSecond = 60;
 /// Time during which a stopping router still takes requests, for callers that
 /// have not asked for addresses again.
-constexpr Milliseconds AcceptAfterStop{3'500};
+constexpr Milliseconds AcceptAfterStop{2'700};
+/// Time during which it still takes streams, which last longer.
+constexpr Milliseconds AcceptStreamsAfterStop{1'200};
 /// Time kept back from the grace period for ending the process.
 constexpr Milliseconds StopMargin{700};
 constexpr Milliseconds DrainCheckPeriod{100};
@@ -104,13 +106,13 @@
     Log.write("stop_begins", {{"router", Settings.Name}});
     State.leave();
     onTraffic([](Traffic &Target) { Target.drain(); });
-    StopTimer.expires_after(AcceptAfterStop);
-    StopTimer.async_wait([this](std::error_code Error) {
-      if (Error)
-        return;
-      onTraffic([](Traffic &Target) { Target.refuseNew(); });
-      EndAt = Time.now() + Settings.StopGrace - AcceptAfterStop - StopMargin;
-      checkDrained();
+    EndAt = Time.now() + Settings.StopGrace - StopMargin;
+    after(AcceptStreamsAfterStop, [this] {
+      onTraffic([](Traffic &Target) { Target.refuseStreams(); });
+      after(AcceptAfterStop - AcceptStreamsAfterStop, [this] {
+        onTraffic([](Traffic &Target) { Target.refuseNew(); });
+        checkDrained();
+      });
     });
   }
 
@@ -122,15 +124,19 @@
           finish();
           return;
         }
-        StopTimer.expires_after(DrainCheckPeriod);
-        StopTimer.async_wait([this](std::error_code Error) {
-          if (!Error)
-            checkDrained();
-        });
+        after(DrainCheckPeriod, [this] { checkDrained(); });
       });
     });
   }
 
+  void after(Milliseconds Delay, std::function<void()> Task) {
+    StopTimer.expires_after(Delay);
+    StopTimer.async_wait([Work = std::move(Task)](std::error_code Error) {
+      if (!Error)
+        Work();
+    });
+  }
+
   void finish() {
     TrafficContext.stop();
     ControlContext.stop();
--- a/src/dataplane/node_settings.cpp
+++ b/src/dataplane/node_settings.cpp
@@ -48,6 +48,23 @@
   Retries.finish();
 }
 
+void readPlacement(JsonReader From, NodeSettings &Settings) {
+  constexpr double MinShare = 0.05;
+  constexpr double MaxShare = 5;
+  constexpr std::int64_t MaxRanks = 64;
+  const PlacementSettings Defaults;
+  PlacementSettings &Placing = Settings.Placing;
+  Placing.WorkShare =
+      From.number("work_share", MinShare, MaxShare, Defaults.WorkShare);
+  Placing.SpareWork =
+      From.number("spare_work", MinShare, MaxShare, Defaults.SpareWork);
+  Placing.PromptWindow =
+      From.number("prompt_window", MinShare, MaxShare, Defaults.PromptWindow);
+  Placing.AffinityRanks = static_cast<unsigned>(
+      From.integer("affinity_ranks", 1, MaxRanks, Defaults.AffinityRanks));
+  From.finish();
+}
+
 void readLimits(JsonReader Limits, NodeSettings &Settings) {
   Settings.MemoryBytes = static_cast<std::size_t>(
       Limits.integer("memory_mb", 1, MaxMegabytes) * BytesPerMegabyte);
@@ -77,6 +94,7 @@
   readListen(Root.object("listen"), Settings);
   readPeers(Root.object("peers"), Settings);
   readRetries(Root.object("retries"), Settings);
+  readPlacement(Root.object("placement"), Settings);
   readLimits(Root.object("limits"), Settings);
   Root.finish();
   if (FirstError)
--- a/src/dataplane/peer_message.cpp
+++ b/src/dataplane/peer_message.cpp
@@ -15,8 +15,8 @@
 /// Raised when the layout changes, so that versions of the program can mix.
 constexpr unsigned FormatVersion = 1;
 
-using LoadRow =
-    std::tuple<std::uint64_t, std::uint32_t, std::uint32_t, std::uint32_t>;
+using LoadRow = std::tuple<std::uint64_t, std::uint32_t, std::uint32_t,
+                           std::uint32_t, std::uint32_t>;
 using UsageRow = std::tuple<std::uint64_t, std::uint32_t, std::uint32_t>;
 using Layout = std::tuple<unsigned, std::string, std::uint64_t, std::uint64_t,
                           std::string, bool, std::uint64_t,
@@ -43,7 +43,7 @@
   Version = Report.Config.Value;
   for (const auto &[Key, Load] : Report.Loads)
     Loads.emplace_back(Key.Value, whole(Load.Running), whole(Load.UnreadPrompt),
-                       whole(Load.KvTokens));
+                       whole(Load.KvTokens), whole(Load.RecentWork));
   for (const auto &[Key, Used] : Report.Usage)
     Usage.emplace_back(Key.Value, whole(Used.Asked), whole(Used.Admitted));
   msgpack::sbuffer Buffer;
@@ -70,9 +70,9 @@
     Report.CallerAddress = Address;
     Report.Ready = Ready;
     Report.Config = ConfigurationVersion(Version);
-    for (const auto &[Key, Running, Unread, Kv] : Loads)
+    for (const auto &[Key, Running, Unread, Kv, Recent] : Loads)
       Report.Loads[UpstreamKey(Key)] = {double(Running), double(Unread),
-                                        double(Kv)};
+                                        double(Kv), double(Recent)};
     for (const auto &[Key, Asked, Admitted] : Usage)
       Report.Usage[WorkspaceKey(Key)] = {double(Asked), double(Admitted)};
     return Report;
--- a/src/dataplane/placement.cpp
+++ b/src/dataplane/placement.cpp
@@ -6,10 +6,6 @@
 
 namespace {
 
-/// Upstreams of an affinity key that are tried before the least loaded one.
-constexpr std::size_t AffinityRanks = 2;
-/// Part of the latency objective that unread prompts may take.
-constexpr double PromptShareOfObjective = 0.5;
 /// A prompt larger than the window is sent once the backlog is below this
 /// part of the window.
 constexpr double LargePromptBacklog = 0.2;
@@ -18,6 +14,8 @@
 constexpr double ReadingOverCapacity = 2.0;
 /// Reading rate assumed when no capacity is stated.
 constexpr double DefaultPromptTokensPerMs = 40;
+/// Prompt tokens that take an engine as long as one output token.
+constexpr double PromptTokensPerOutputToken = 10;
 /// Part of an engine's memory that requests may claim.
 constexpr double KvFill = 0.9;
 /// Load below which capacity counts as spare.
@@ -30,22 +28,36 @@
   Load.Running = 1;
   Load.UnreadPrompt = UncachedPrompt + (PartsKept ? 0 : SharedPrompt);
   Load.KvTokens = UncachedPrompt + SharedPrompt + OutputTokens;
+  Load.RecentWork =
+      Load.UnreadPrompt + PromptTokensPerOutputToken * OutputTokens;
   return Load;
 }
 
 void Placement::configure(const Configuration &Current) {
   Config = &Current;
+  // A long prompt delays the first tokens of all requests beside it, so the
+  // most urgent route sets the bound for all.
+  ShortestObjective.clear();
+  for (const Route &Each : Current.Routes)
+    for (const ServiceWeight &Target : Each.Services) {
+      const auto [At, New] =
+          ShortestObjective.try_emplace(Target.Service, Each.LatencyObjective);
+      if (!New)
+        At->second = std::min(At->second, Each.LatencyObjective);
+    }
   std::size_t Engines = 0;
   for (const Service &Each : Current.Services)
     if (Each.Engine)
       Engines += Table.ofService(Each.Name).size();
   if (Current.Limits.TokensPerSecond <= 0 || Engines == 0) {
     PromptTokensPerMs = DefaultPromptTokensPerMs;
-    return;
+  } else {
+    constexpr double MillisecondsPerSecond = 1'000;
+    PromptTokensPerMs = ReadingOverCapacity * Current.Limits.TokensPerSecond /
+                        static_cast<double>(Engines) / MillisecondsPerSecond;
   }
-  constexpr double MillisecondsPerSecond = 1'000;
-  PromptTokensPerMs = ReadingOverCapacity * Current.Limits.TokensPerSecond /
-                      static_cast<double>(Engines) / MillisecondsPerSecond;
+  WorkLimit =
+      Settings.WorkShare * PromptTokensPerMs * static_cast<double>(RecentSpan.count());
 }
 
 bool Placement::usable(const UpstreamState &Upstream,
@@ -63,7 +75,7 @@
 
 bool Placement::fits(const UpstreamState &Upstream, const PlacementQuery &Query,
                      bool PartsKept) const {
-  const UpstreamLoad Now = Upstream.total();
+  const UpstreamLoad Now = Upstream.total(Time.now());
   const double Slots = std::max(1U, Upstream.Record.Slots);
   if (Now.Running + 1 > Slots)
     return false;
@@ -74,8 +86,17 @@
   if (Now.Running > 0 &&
       Now.KvTokens + More.KvTokens > KvFill * Kind->Engine->KvCapacityTokens)
     return false;
-  const double Window = PromptTokensPerMs * PromptShareOfObjective *
-                        static_cast<double>(Query.LatencyObjective.count());
+  const bool Paced = Now.RecentWork + More.RecentWork <= WorkLimit ||
+                     Now.RecentWork <= LargePromptBacklog * WorkLimit;
+  if (!Paced)
+    return false;
+  const auto Shortest = ShortestObjective.find(Query.Service);
+  const Milliseconds Objective =
+      Shortest == ShortestObjective.end()
+          ? Query.LatencyObjective
+          : std::min(Query.LatencyObjective, Shortest->second);
+  const double Window = PromptTokensPerMs * Settings.PromptWindow *
+                        static_cast<double>(Objective.count());
   return Now.UnreadPrompt + More.UnreadPrompt <= Window ||
          Now.UnreadPrompt <= LargePromptBacklog * Window;
 }
@@ -95,16 +116,26 @@
                       sizeof(State->Key.Value)},
                      *Query.Affinity),
           State);
-  const std::size_t Tried = std::min(AffinityRanks, Ranked.size());
+  const std::size_t Tried =
+      std::min<std::size_t>(Settings.AffinityRanks, Ranked.size());
   std::partial_sort(Ranked.begin(),
                     Ranked.begin() + static_cast<std::ptrdiff_t>(Tried),
                     Ranked.end(), [](const auto &Left, const auto &Right) {
                       return Left.first > Right.first;
                     });
+  const UpstreamState *FetchFrom =
+      Tried > 0 && canFetch(Query.Service) ? Ranked.front().second : nullptr;
   for (std::size_t Rank = 0; Rank < Tried; ++Rank)
     if (fits(*Ranked[Rank].second, Query, Rank == 0))
-      return {Ranked[Rank].second, Rank == 0};
-  return leastLoaded(Query);
+      return {Ranked[Rank].second, Rank == 0, Rank == 0 ? nullptr : FetchFrom};
+  PlacementChoice Choice = leastLoaded(Query);
+  Choice.FetchFrom = FetchFrom;
+  return Choice;
+}
+
+bool Placement::canFetch(const ServiceId &Name) const {
+  const Service *Kind = Config->serviceOf(Name);
+  return Kind != nullptr && Kind->Engine && Kind->Engine->FetchesParts;
 }
 
 PlacementChoice Placement::leastLoaded(const PlacementQuery &Query) const {
@@ -113,7 +144,7 @@
   for (UpstreamState *State : Table.ofService(Query.Service)) {
     if (!usable(*State, Query) || !fits(*State, Query, false))
       continue;
-    const UpstreamLoad Now = State->total();
+    const UpstreamLoad Now = State->total(Time.now());
     const double Slots = std::max(1U, State->Record.Slots);
     // The own zone wins between upstreams of equal load.
     const double Score = Now.Running / Slots + Now.UnreadPrompt / 10'000 +
@@ -128,7 +159,9 @@
 
 bool Placement::hasSpare(const UpstreamState &Upstream) const {
   const double Slots = std::max(1U, Upstream.Record.Slots);
-  return Upstream.total().Running < SpareSlots * Slots;
+  const UpstreamLoad Now = Upstream.total(Time.now());
+  return Now.Running < SpareSlots * Slots &&
+         Now.RecentWork < Settings.SpareWork * WorkLimit;
 }
 
 } // namespace mallowglade::dataplane
--- a/src/dataplane/request_run.cpp
+++ b/src/dataplane/request_run.cpp
@@ -96,7 +96,13 @@
     return;
   }
   Target = Where.Upstream->Record;
-  Counted = Query.Work.load(Where.PartsKept);
+  Counted = Query.Work.load(Where.PartsKept || Where.FetchFrom != nullptr);
+  FetchPartsFrom =
+      Where.FetchFrom != nullptr
+          ? fmt::format("{}:{}",
+                        Where.FetchFrom->Record.Address.address().to_string(),
+                        Where.FetchFrom->Record.Address.port())
+          : "";
   Owner.Upstreams.add(Target.Id, Counted);
   SentAt = Owner.Time.now();
   Reading = Mode::Waiting;
@@ -133,6 +139,7 @@
   Fields.TimeLeft = std::max(Milliseconds(1), timeLeft());
   Fields.ExpectedUpstream = To.Record.Id;
   Fields.Workspace = Workspace;
+  Fields.FetchPartsFrom = FetchPartsFrom;
   if (Resumes)
     Fields.LastEventId = Events.lastEventId();
   Owner.Wire.appendForwardFields(Out, Fields);
@@ -315,6 +322,7 @@
                               {"attempts", std::int64_t(History.Attempts)}});
     Query.Excluded.insert(Target.Id);
     GiveUpAt = Deadline;
+    Continues = true;
     Owner.Queue.submit(shared_from_this());
     return;
   }
--- a/src/dataplane/traffic.cpp
+++ b/src/dataplane/traffic.cpp
@@ -70,7 +70,7 @@
                onRequest(Exchange);
              }),
       Pool(Context, Wire.attemptHeader(), Timeouts), Upstreams(Time),
-      Places(Upstreams, Time, Settings.Zone), Shares(Time),
+      Places(Upstreams, Time, Settings.Zone, Settings.Placing), Shares(Time),
       Queue(Places, Shares, Time, Random), Retries(Settings.Retries, Time),
       Ticker(Context) {}
 
@@ -213,7 +213,7 @@
     }
     Workspace = Owner->Name;
   }
-  if (Refusing) {
+  if (Refusing || (RefusingStreams && Of->Streaming)) {
     refuseAtOnce(*Exchange, 503, "stopping", Facts.Attempt);
     return;
   }
--- a/src/dataplane/upstream_table.cpp
+++ b/src/dataplane/upstream_table.cpp
@@ -1,6 +1,7 @@
 #include <mallowglade/detail/dataplane/upstream_table.hpp>
 
 #include <algorithm>
+#include <cmath>
 
 namespace mallowglade::dataplane {
 
@@ -10,12 +11,19 @@
 constexpr Milliseconds FirstAvoidance{250};
 constexpr unsigned MaxDoublings = 3;
 
+double decayed(double Work, std::chrono::nanoseconds Age) {
+  const double Spans = std::chrono::duration<double>(Age) /
+                       std::chrono::duration<double>(RecentSpan);
+  return Work * std::exp(-Spans);
+}
+
 } // namespace
 
 UpstreamLoad &UpstreamLoad::operator+=(const UpstreamLoad &Other) {
   Running += Other.Running;
   UnreadPrompt += Other.UnreadPrompt;
   KvTokens += Other.KvTokens;
+  RecentWork += Other.RecentWork;
   return *this;
 }
 
@@ -26,9 +34,12 @@
   return *this;
 }
 
-UpstreamLoad UpstreamState::total() const {
+UpstreamLoad UpstreamState::total(TimePoint Now) const {
   UpstreamLoad Sum = Own;
-  Sum += Peers;
+  Sum.RecentWork = decayed(Own.RecentWork, Now - OwnDecayedAt);
+  UpstreamLoad Theirs = Peers;
+  Theirs.RecentWork = decayed(Peers.RecentWork, Now - PeersDecayedAt);
+  Sum += Theirs;
   return Sum;
 }
 
@@ -62,9 +73,11 @@
 void UpstreamTable::setPeers(const LoadTable &Sum) {
   if (&Sum != &PeerSum)
     PeerSum = Sum;
+  const TimePoint Now = Time.now();
   for (auto &[Id, State] : All) {
     const auto Found = PeerSum.find(State.Key);
     State.Peers = Found == PeerSum.end() ? UpstreamLoad() : Found->second;
+    State.PeersDecayedAt = Now;
   }
 }
 
@@ -81,8 +94,14 @@
 }
 
 void UpstreamTable::add(const UpstreamId &Id, const UpstreamLoad &Work) {
-  if (UpstreamState *State = find(Id))
-    State->Own += Work;
+  UpstreamState *State = find(Id);
+  if (State == nullptr)
+    return;
+  const TimePoint Now = Time.now();
+  State->Own.RecentWork =
+      decayed(State->Own.RecentWork, Now - State->OwnDecayedAt);
+  State->OwnDecayedAt = Now;
+  State->Own += Work;
 }
 
 void UpstreamTable::remove(const UpstreamId &Id, const UpstreamLoad &Work) {
@@ -106,11 +125,17 @@
   }
 }
 
-LoadTable UpstreamTable::ownLoads() const {
+LoadTable UpstreamTable::ownLoads() {
+  constexpr double Negligible = 1;
   LoadTable Table;
-  for (const auto &[Id, State] : All)
-    if (State.Own.Running > 0)
+  const TimePoint Now = Time.now();
+  for (auto &[Id, State] : All) {
+    State.Own.RecentWork =
+        decayed(State.Own.RecentWork, Now - State.OwnDecayedAt);
+    State.OwnDecayedAt = Now;
+    if (State.Own.Running > 0 || State.Own.RecentWork > Negligible)
       Table.emplace(State.Key, State.Own);
+  }
   return Table;
 }
 
