Admit prompts of all sizes alike and spare capacity to the least served

Ruled out: queue order (large requests were refused, not overtaken).

Change: the bounds on unread prompt and recent work no longer include the request itself; work beyond a share is admitted only while no refused workspace has had clearly less.

--- a/include/mallowglade/detail/dataplane/fair_share.hpp
+++ b/include/mallowglade/detail/dataplane/fair_share.hpp
@@ -51,6 +51,9 @@
   void update(double TokensPerSecond);
   /// @return true if the workspace has had less than its share
   bool withinShare(WorkspaceKey Who);
+  /// @brief Tells whether a workspace beyond its share may use spare capacity.
+  /// @return false while another one that was refused work has had less
+  bool mayExceed(WorkspaceKey Who);
   /// @return admitted tokens of the window over the share; 0 without a share
   double fillOf(WorkspaceKey Who);
   /// @return what this router saw in the window
@@ -72,6 +75,8 @@
   std::unordered_map<WorkspaceKey, History> Own;
   UsageTable Peers;
   double Level = 0;
+  /// Smallest fill among workspaces that were refused work.
+  double LeastServed = 0;
 };
 
 } // namespace mallowglade::dataplane
--- a/src/dataplane/admission.cpp
+++ b/src/dataplane/admission.cpp
@@ -60,7 +60,8 @@
                       !Shares.withinShare(Request->Who);
   if (Beyond) {
     const PlacementChoice Where = Places.choose(Request->Query);
-    if (Where.Upstream != nullptr && Places.hasSpare(*Where.Upstream)) {
+    if (Where.Upstream != nullptr && Places.hasSpare(*Where.Upstream) &&
+        Shares.mayExceed(Request->Who)) {
       Shares.admitted(Request->Who, Request->ShareTokens);
       Request->place(Where);
       return;
--- a/src/dataplane/fair_share.cpp
+++ b/src/dataplane/fair_share.cpp
@@ -1,9 +1,20 @@
 #include <mallowglade/detail/dataplane/fair_share.hpp>
 
 #include <algorithm>
+#include <limits>
 
 namespace mallowglade::dataplane {
 
+namespace {
+
+/// A workspace that asked for this many times what it got was refused work.
+constexpr double RefusedWorkFactor = 1.1;
+/// How far a workspace may be ahead of the least served one; covers the lag
+/// of the peers' tables.
+constexpr double ExcessFactor = 1.15;
+
+} // namespace
+
 double maxMinLevel(std::vector<double> Asked, double Capacity) {
   std::sort(Asked.begin(), Asked.end());
   double Left = Capacity;
@@ -89,6 +100,14 @@
       std::max(Admitted,
                TokensPerSecond * std::chrono::duration<double>(Window).count());
   Level = maxMinLevel(std::move(Asked), Capacity);
+  LeastServed = std::numeric_limits<double>::infinity();
+  for (const auto &[Who, Usage] : Fleet)
+    if (Usage.Asked > RefusedWorkFactor * Usage.Admitted)
+      LeastServed = std::min(LeastServed, Usage.Admitted / Level);
+}
+
+bool FairShare::mayExceed(WorkspaceKey Who) {
+  return Level <= 0 || fillOf(Who) <= LeastServed * ExcessFactor;
 }
 
 double FairShare::fillOf(WorkspaceKey Who) {
--- a/src/dataplane/placement.cpp
+++ b/src/dataplane/placement.cpp
@@ -6,9 +6,6 @@
 
 namespace {
 
-/// A prompt larger than the window is sent once the backlog is below this
-/// part of the window.
-constexpr double LargePromptBacklog = 0.2;
 /// An engine reads a prompt about this many times faster than its share of the
 /// stated capacity, which also covers generation.
 constexpr double ReadingOverCapacity = 2.0;
@@ -56,8 +53,8 @@
     PromptTokensPerMs = ReadingOverCapacity * Current.Limits.TokensPerSecond /
                         static_cast<double>(Engines) / MillisecondsPerSecond;
   }
-  WorkLimit =
-      Settings.WorkShare * PromptTokensPerMs * static_cast<double>(RecentSpan.count());
+  WorkLimit = Settings.WorkShare * PromptTokensPerMs *
+              static_cast<double>(RecentSpan.count());
 }
 
 bool Placement::usable(const UpstreamState &Upstream,
@@ -86,9 +83,7 @@
   if (Now.Running > 0 &&
       Now.KvTokens + More.KvTokens > KvFill * Kind->Engine->KvCapacityTokens)
     return false;
-  const bool Paced = Now.RecentWork + More.RecentWork <= WorkLimit ||
-                     Now.RecentWork <= LargePromptBacklog * WorkLimit;
-  if (!Paced)
+  if (Now.RecentWork > WorkLimit)
     return false;
   const auto Shortest = ShortestObjective.find(Query.Service);
   const Milliseconds Objective =
@@ -97,8 +92,9 @@
           : std::min(Query.LatencyObjective, Shortest->second);
   const double Window = PromptTokensPerMs * Settings.PromptWindow *
                         static_cast<double>(Objective.count());
-  return Now.UnreadPrompt + More.UnreadPrompt <= Window ||
-         Now.UnreadPrompt <= LargePromptBacklog * Window;
+  // The request's own size does not count: with it, long prompts would wait
+  // for a gap that short ones fill first.
+  return Now.UnreadPrompt <= Window;
 }
 
 PlacementChoice Placement::choose(const PlacementQuery &Query) const {
