Let refused callers return within their latency objective

Cause: a refusal named 2 to 3 s as the time to come back, so that every caller who returned was late even if it was served at once. Shares were counted in steps of half a second, which let work in by bursts.

Ruled out: holding refused callers in the queue (they would wait without knowing, and a returning caller costs one small request).

Change: Retry-After lies between 0.2 and 0.5 of the route's latency objective, spread at random; the window of shares has 16 steps; the request's own size counts by 0.3; idle engines take work without asking for shares.

--- a/include/mallowglade/detail/dataplane/admission.hpp
+++ b/include/mallowglade/detail/dataplane/admission.hpp
@@ -78,7 +78,7 @@
 private:
   bool tryPlace(Waiter &Request);
   bool precedes(const Waiter &Left, const Waiter &Right) const;
-  Milliseconds retryAfter(Refusal Reason);
+  Milliseconds retryAfter(const Waiter &Of);
 
   Placement &Places;
   FairShare &Shares;
--- a/include/mallowglade/detail/dataplane/fair_share.hpp
+++ b/include/mallowglade/detail/dataplane/fair_share.hpp
@@ -62,7 +62,7 @@
   double level() const { return Level; }
 
 private:
-  static constexpr std::size_t Buckets = 8;
+  static constexpr std::size_t Buckets = 16;
   struct History {
     std::array<WorkspaceUsage, Buckets> Slots{};
     std::array<std::int64_t, Buckets> Ticks{};
--- a/include/mallowglade/detail/dataplane/placement.hpp
+++ b/include/mallowglade/detail/dataplane/placement.hpp
@@ -48,6 +48,11 @@
   double WorkShare = 0.9;
   /// Part of the work limit below which capacity counts as spare.
   double SpareWork = 0.75;
+  /// Part of the work limit below which no share is asked for.
+  double IdleWork = 0.5;
+  /// Part of a request's own size that counts against the bounds: with 1, long
+  /// prompts starve behind short ones; with 0, they crowd those out.
+  double SizeWeight = 0.3;
   /// Part of the shortest latency objective that unread prompts may take.
   double PromptWindow = 0.35;
   /// Upstreams of an affinity key that are tried before the least loaded one.
@@ -74,6 +79,8 @@
   PlacementChoice choose(const PlacementQuery &Query) const;
   /// @brief Tells whether an upstream has capacity to spare.
   bool hasSpare(const UpstreamState &Upstream) const;
+  /// @brief Tells whether an upstream is so idle that shares do not matter.
+  bool isIdle(const UpstreamState &Upstream) const;
   /// @return largest work that an engine should be given in `RecentSpan`
   double workLimit() const { return WorkLimit; }
   /// @return true if the service has an upstream that may take work at all
--- a/src/dataplane/admission.cpp
+++ b/src/dataplane/admission.cpp
@@ -9,12 +9,11 @@
 
 /// Requests that may wait in one router; each holds its body in memory.
 constexpr std::size_t MaxWaiting = 400;
-/// Callers told to come back are spread over this much time, so that they do
-/// not return together.
-constexpr Milliseconds RetrySpread{1'000};
-constexpr Milliseconds ShortRetry{300};
-/// Time after which a used-up share has room again: half its window.
-constexpr Milliseconds ShareRetry = FairShare::Window / 2;
+/// A caller that comes back within its latency objective can still be served
+/// on time; returns are spread, so that callers do not come together.
+constexpr double EarliestReturn = 0.2;
+constexpr double ReturnSpread = 0.3;
+constexpr Milliseconds ReturnWhileStopping{50};
 
 } // namespace
 
@@ -40,20 +39,20 @@
                      RandomSource &Random)
     : Places(Places), Shares(Shares), Time(Time), Random(Random) {}
 
-Milliseconds Admission::retryAfter(Refusal Reason) {
-  const Milliseconds Base =
-      Reason == Refusal::ShareUsedUp ? ShareRetry : ShortRetry;
-  return Base + Milliseconds(Random.below(
-                    static_cast<std::uint64_t>(RetrySpread.count())));
+Milliseconds Admission::retryAfter(const Waiter &Of) {
+  const auto Objective = static_cast<double>(Of.Query.LatencyObjective.count());
+  const auto Spread = static_cast<std::uint64_t>(ReturnSpread * Objective) + 1;
+  return Milliseconds(static_cast<std::int64_t>(
+      EarliestReturn * Objective + static_cast<double>(Random.below(Spread))));
 }
 
 void Admission::submit(std::shared_ptr<Waiter> Request) {
   if (Stopped) {
-    Request->refuse(Refusal::Stopping, ShortRetry);
+    Request->refuse(Refusal::Stopping, ReturnWhileStopping);
     return;
   }
   if (!Places.anyUsable(Request->Query.Service)) {
-    Request->refuse(Refusal::NoUpstream, retryAfter(Refusal::NoUpstream));
+    Request->refuse(Refusal::NoUpstream, retryAfter(*Request));
     return;
   }
   const bool Beyond = Request->HasWorkspace && !Request->Continues &&
@@ -61,18 +60,18 @@
   if (Beyond) {
     const PlacementChoice Where = Places.choose(Request->Query);
     if (Where.Upstream != nullptr && Places.hasSpare(*Where.Upstream) &&
-        Shares.mayExceed(Request->Who)) {
+        (Places.isIdle(*Where.Upstream) || Shares.mayExceed(Request->Who))) {
       Shares.admitted(Request->Who, Request->ShareTokens);
       Request->place(Where);
       return;
     }
-    Request->refuse(Refusal::ShareUsedUp, retryAfter(Refusal::ShareUsedUp));
+    Request->refuse(Refusal::ShareUsedUp, retryAfter(*Request));
     return;
   }
   if (Queue.empty() && tryPlace(*Request))
     return;
   if (Queue.size() >= MaxWaiting) {
-    Request->refuse(Refusal::QueueFull, retryAfter(Refusal::QueueFull));
+    Request->refuse(Refusal::QueueFull, retryAfter(*Request));
     return;
   }
   Queue.push_back(std::move(Request));
@@ -145,7 +144,7 @@
     At = Queue.erase(At);
   }
   for (const auto &Each : Late)
-    Each->refuse(Refusal::NoRoom, retryAfter(Refusal::NoRoom));
+    Each->refuse(Refusal::NoRoom, retryAfter(*Each));
 }
 
 void Admission::stop() {
@@ -153,7 +152,7 @@
   const auto All = std::move(Queue);
   Queue.clear();
   for (const auto &Each : All)
-    Each->refuse(Refusal::Stopping, ShortRetry);
+    Each->refuse(Refusal::Stopping, ReturnWhileStopping);
 }
 
 } // namespace mallowglade::dataplane
--- a/src/dataplane/node_settings.cpp
+++ b/src/dataplane/node_settings.cpp
@@ -58,6 +58,8 @@
       From.number("work_share", MinShare, MaxShare, Defaults.WorkShare);
   Placing.SpareWork =
       From.number("spare_work", MinShare, MaxShare, Defaults.SpareWork);
+  Placing.IdleWork = From.number("idle_work", 0, MaxShare, Defaults.IdleWork);
+  Placing.SizeWeight = From.number("size_weight", 0, 1, Defaults.SizeWeight);
   Placing.PromptWindow =
       From.number("prompt_window", MinShare, MaxShare, Defaults.PromptWindow);
   Placing.AffinityRanks = static_cast<unsigned>(
--- a/src/dataplane/placement.cpp
+++ b/src/dataplane/placement.cpp
@@ -83,7 +83,8 @@
   if (Now.Running > 0 &&
       Now.KvTokens + More.KvTokens > KvFill * Kind->Engine->KvCapacityTokens)
     return false;
-  if (Now.RecentWork > WorkLimit)
+  if (Now.RecentWork + Settings.SizeWeight * More.RecentWork > WorkLimit &&
+      Now.RecentWork > Settings.IdleWork * WorkLimit)
     return false;
   const auto Shortest = ShortestObjective.find(Query.Service);
   const Milliseconds Objective =
@@ -92,9 +93,8 @@
           : std::min(Query.LatencyObjective, Shortest->second);
   const double Window = PromptTokensPerMs * Settings.PromptWindow *
                         static_cast<double>(Objective.count());
-  // The request's own size does not count: with it, long prompts would wait
-  // for a gap that short ones fill first.
-  return Now.UnreadPrompt <= Window;
+  return Now.UnreadPrompt + Settings.SizeWeight * More.UnreadPrompt <= Window ||
+         Now.UnreadPrompt <= Settings.IdleWork * Window;
 }
 
 PlacementChoice Placement::choose(const PlacementQuery &Query) const {
@@ -160,4 +160,11 @@
          Now.RecentWork < Settings.SpareWork * WorkLimit;
 }
 
+bool Placement::isIdle(const UpstreamState &Upstream) const {
+  const double Slots = std::max(1U, Upstream.Record.Slots);
+  const UpstreamLoad Now = Upstream.total(Time.now());
+  return Now.Running < Settings.IdleWork * Slots &&
+         Now.RecentWork < Settings.IdleWork * WorkLimit;
+}
+
 } // namespace mallowglade::dataplane
