--- a/include/mallowglade/detail/http1/message_parser.hpp
+++ b/include/mallowglade/detail/http1/message_parser.hpp
@@ -72,6 +72,7 @@
   static MessageParser &self(http_parser *Parser);
   std::size_t collectHead(std::string_view Data);
   bool headIsStrict() const;
+  bool framingIsPlain() const;
   std::size_t execute(std::string_view Data);
   int finishHead();
   HeaderList &headers();
--- a/src/http1/message_parser.cpp
+++ b/src/http1/message_parser.cpp
@@ -6,6 +6,7 @@
 
 constexpr std::string_view HeadEnd = "\r\n\r\n";
 constexpr int SkipBodyResult = 1;
+constexpr int RejectResult = -1;
 
 } // namespace
 
@@ -118,7 +119,20 @@
   return *static_cast<MessageParser *>(Parser->data);
 }
 
+bool MessageParser::framingIsPlain() const {
+  const std::string *Coding = Request.Headers.find("transfer-encoding");
+  if (Coding == nullptr)
+    return Request.Headers.count("content-length") <= 1;
+  return equalsIgnoreCase(*Coding, "chunked") &&
+         Request.Headers.count("transfer-encoding") == 1 &&
+         Request.Headers.count("content-length") == 0;
+}
+
 int MessageParser::finishHead() {
+  if (Kind == HTTP_REQUEST && !framingIsPlain()) {
+    Failure = ParseError::Malformed;
+    return RejectResult;
+  }
   HeadComplete = true;
   if (Kind == HTTP_REQUEST) {
     Request.Method = http_method_str(static_cast<http_method>(Parser.method));
--- /dev/null
+++ b/tests/unit-dataplane-decisions.cpp
@@ -0,0 +1,350 @@
+#include <mallowglade/dataplane.hpp>
+
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <rapidcheck.h>
+
+#include <numeric>
+
+using namespace mallowglade;
+using namespace mallowglade::dataplane;
+
+namespace {
+
+constexpr double TokensPerSecond = 96'000;
+constexpr unsigned Engines = 4;
+const ServiceId Models("models");
+
+Configuration configurationOf() {
+  Configuration Config;
+  Config.Version = ConfigurationVersion(1);
+  Route Chat;
+  Chat.Name = "chat";
+  Chat.Host = "api.example";
+  Chat.PathPrefix = "/chat/";
+  Chat.Streaming = Chat.PromptAffinity = true;
+  Chat.LatencyObjective = Milliseconds(600);
+  Chat.Services = {{Models, 1}};
+  Config.Routes.push_back(Chat);
+  Chat.Name = "chat-special";
+  Chat.PathPrefix = "/chat/special/";
+  Config.Routes.push_back(Chat);
+  Service Pool;
+  Pool.Name = Models;
+  Pool.Engine = EngineProfile{64, 500'000, 6, true};
+  Config.Services.push_back(Pool);
+  Config.Workspaces.push_back({WorkspaceId("desk"), {"key-a", "key-b"}, {}});
+  Config.Limits.TokensPerSecond = TokensPerSecond;
+  Config.index();
+  return Config;
+}
+
+std::vector<UpstreamRecord> engines(unsigned Count = Engines) {
+  std::vector<UpstreamRecord> List;
+  for (unsigned At = 0; At < Count; ++At) {
+    UpstreamRecord Record;
+    Record.Id = UpstreamId("engine-" + std::to_string(At));
+    Record.Service = Models;
+    Record.Address = {asio::ip::make_address("127.0.0.1"),
+                      static_cast<std::uint16_t>(9'000 + At)};
+    Record.Slots = 64;
+    Record.Ready = true;
+    List.push_back(Record);
+  }
+  return List;
+}
+
+PlacementQuery query(std::optional<std::uint64_t> Affinity,
+                     double Prompt = 1'000) {
+  PlacementQuery Query;
+  Query.Service = Models;
+  Query.Affinity = Affinity;
+  Query.Work = {Prompt, 4'000, 200};
+  Query.LatencyObjective = Milliseconds(600);
+  return Query;
+}
+
+/// Records what happened to a request.
+class FakeWaiter final : public Waiter {
+public:
+  void place(const PlacementChoice &Where) override {
+    Placed = Where.Upstream->Record.Id;
+    if (Table != nullptr)
+      Table->add(Placed, Query.Work.load(Where.PartsKept));
+  }
+  void refuse(Refusal Reason, Milliseconds RetryAfter) override {
+    Refused = Reason;
+    Return = RetryAfter;
+  }
+
+  UpstreamTable *Table = nullptr;
+  UpstreamId Placed;
+  std::optional<Refusal> Refused;
+  Milliseconds Return{};
+};
+
+struct World {
+  ManualClock Time;
+  Configuration Config = configurationOf();
+  UpstreamTable Table{Time};
+  Placement Places{Table, Time, ZoneId("a"), PlacementSettings()};
+  FairShare Shares{Time};
+  SeededRandom Random{1};
+  Admission Queue{Places, Shares, Time, Random};
+
+  World() {
+    Table.update(engines());
+    Places.configure(Config);
+  }
+
+  std::shared_ptr<FakeWaiter> submit(const std::string &Workspace,
+                                     double Prompt, double Tokens) {
+    auto Request = std::make_shared<FakeWaiter>();
+    Request->Table = &Table;
+    Request->Query = query(std::nullopt, Prompt);
+    Request->HasWorkspace = true;
+    Request->Who = WorkspaceKey(stableHash(Workspace));
+    Request->ShareTokens = Tokens;
+    Request->Arrived = Time.now();
+    Request->GiveUpAt = Time.now() + Milliseconds(300);
+    Shares.asked(Request->Who, Tokens);
+    Queue.submit(Request);
+    return Request;
+  }
+
+  void fillEngines() {
+    for (const UpstreamRecord &Each : engines()) {
+      UpstreamLoad Load;
+      Load.Running = 50;
+      Load.RecentWork = 2 * Places.workLimit();
+      Table.add(Each.Id, Load);
+    }
+  }
+};
+
+} // namespace
+
+class DataplaneDecisionsTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(DataplaneDecisionsTest);
+  CPPUNIT_TEST(longestPrefixSelectsTheRoute);
+  CPPUNIT_TEST(maxMinLevelUsesTheWholeCapacity);
+  CPPUNIT_TEST(placementAgreesAcrossRouters);
+  CPPUNIT_TEST(busyHomeIsAskedForItsParts);
+  CPPUNIT_TEST(leavingAndFailedUpstreamsGetNoWork);
+  CPPUNIT_TEST(recentWorkLimitsWhatAnEngineIsGiven);
+  CPPUNIT_TEST(longPromptsAreNotStarvedByShortOnes);
+  CPPUNIT_TEST(floodingWorkspaceIsRefusedAtOnce);
+  CPPUNIT_TEST(leastServedWorkspaceGetsSpareCapacityFirst);
+  CPPUNIT_TEST(capacityIsNotLeftIdleForShares);
+  CPPUNIT_TEST(refusedCallersMayStillBeOnTime);
+  CPPUNIT_TEST(waitingRequestIsGivenUpInTime);
+  CPPUNIT_TEST(repeatsOfTheWholeFleetStayWithinTheBudget);
+  CPPUNIT_TEST_SUITE_END();
+
+public:
+  // Guards against a request that runs under another route's rules.
+  void longestPrefixSelectsTheRoute() {
+    const Configuration Config = configurationOf();
+    CPPUNIT_ASSERT_EQUAL(
+        std::string("chat-special"),
+        Config.match("API.example:80", "/chat/special/x")->Name);
+    CPPUNIT_ASSERT_EQUAL(std::string("chat"),
+                         Config.match("api.example", "/chat/specialx")->Name);
+    CPPUNIT_ASSERT(Config.match("api.example", "/cha") == nullptr);
+    CPPUNIT_ASSERT(Config.match("other.example", "/chat/x") == nullptr);
+    CPPUNIT_ASSERT(Config.workspaceOf("key-b") != nullptr);
+    CPPUNIT_ASSERT(Config.workspaceOf("key-c") == nullptr);
+  }
+
+  // Guards against shares that add up to less or more than the capacity.
+  void maxMinLevelUsesTheWholeCapacity() {
+    const bool Holds = rc::check([](const std::vector<std::uint16_t> &Demands) {
+      const std::vector<double> Asked(Demands.begin(), Demands.end());
+      constexpr double Capacity = 50'000;
+      const double Level = maxMinLevel(Asked, Capacity);
+      double Owed = 0;
+      for (const double Each : Asked)
+        Owed += std::min(Each, Level);
+      const double Sum = std::accumulate(Asked.begin(), Asked.end(), 0.0);
+      RC_ASSERT(std::abs(Owed - std::min(Sum, Capacity)) < 1e-6 * Capacity);
+    });
+    CPPUNIT_ASSERT(Holds);
+  }
+
+  // Guards against routers that spread one session over several engines.
+  void placementAgreesAcrossRouters() {
+    World First;
+    World Second;
+    for (std::uint64_t Session = 1; Session < 100; ++Session) {
+      const auto Left = First.Places.choose(query(Session));
+      const auto Right = Second.Places.choose(query(Session));
+      CPPUNIT_ASSERT(Left.Upstream->Record.Id == Right.Upstream->Record.Id);
+      CPPUNIT_ASSERT(Left.PartsKept);
+    }
+  }
+
+  // Guards against shared parts read again when their home is busy.
+  void busyHomeIsAskedForItsParts() {
+    World W;
+    const auto Home = W.Places.choose(query(7));
+    UpstreamLoad Busy;
+    Busy.RecentWork = 2 * W.Places.workLimit();
+    W.Table.add(Home.Upstream->Record.Id, Busy);
+    const auto Other = W.Places.choose(query(7));
+    CPPUNIT_ASSERT(Other.Upstream != Home.Upstream);
+    CPPUNIT_ASSERT(Other.FetchFrom == Home.Upstream);
+  }
+
+  // Guards against work sent to an upstream that leaves or has just failed.
+  void leavingAndFailedUpstreamsGetNoWork() {
+    World W;
+    auto List = engines();
+    for (unsigned At = 0; At + 1 < Engines; ++At)
+      List[At].Ready = false;
+    CPPUNIT_ASSERT_EQUAL(std::size_t(Engines - 1), W.Table.update(List).size());
+    const UpstreamId Last = List.back().Id;
+    CPPUNIT_ASSERT(W.Places.choose(query(7)).Upstream->Record.Id == Last);
+    W.Table.failed(Last);
+    CPPUNIT_ASSERT(W.Places.choose(query(7)).Upstream == nullptr);
+    W.Time.advance(std::chrono::seconds(3));
+    CPPUNIT_ASSERT(W.Places.choose(query(7)).Upstream->Record.Id == Last);
+  }
+
+  // Guards against streams that miss their time limit because their engine is
+  // given prompts without pause.
+  void recentWorkLimitsWhatAnEngineIsGiven() {
+    World W;
+    double Given = 0;
+    while (true) {
+      const auto Choice = W.Places.choose(query(std::nullopt, 6'000));
+      if (Choice.Upstream == nullptr)
+        break;
+      UpstreamLoad Load = query(std::nullopt, 6'000).Work.load(false);
+      Load.UnreadPrompt = 0;
+      W.Table.add(Choice.Upstream->Record.Id, Load);
+      Given += Load.RecentWork;
+      CPPUNIT_ASSERT(Given < 10 * Engines * W.Places.workLimit());
+    }
+    const double Largest =
+        query(std::nullopt, 6'000).Work.load(false).RecentWork;
+    CPPUNIT_ASSERT(Given <= Engines * (W.Places.workLimit() + Largest));
+    W.Time.advance(2 * RecentSpan);
+    CPPUNIT_ASSERT(W.Places.choose(query(std::nullopt)).Upstream != nullptr);
+  }
+
+  // Guards against long prompts refused where short ones are accepted.
+  void longPromptsAreNotStarvedByShortOnes() {
+    World W;
+    for (const UpstreamRecord &Each : engines()) {
+      UpstreamLoad Load;
+      Load.RecentWork = 0.45 * W.Places.workLimit();
+      W.Table.add(Each.Id, Load);
+    }
+    CPPUNIT_ASSERT(W.Places.choose(query(std::nullopt, 100)).Upstream);
+    CPPUNIT_ASSERT(W.Places.choose(query(std::nullopt, 50'000)).Upstream);
+  }
+
+  // Guards against a flood that takes the share of others, or waits in vain.
+  void floodingWorkspaceIsRefusedAtOnce() {
+    World W;
+    W.fillEngines();
+    const double Window = 4 * TokensPerSecond;
+    W.Shares.asked(WorkspaceKey(stableHash("flood")), 3 * Window);
+    W.Shares.admitted(WorkspaceKey(stableHash("flood")), Window);
+    W.Shares.asked(WorkspaceKey(stableHash("small")), Window / 10);
+    W.Shares.update(TokensPerSecond);
+    const auto Flood = W.submit("flood", 1'000, 1'000);
+    CPPUNIT_ASSERT(Flood->Refused == Refusal::ShareUsedUp);
+    const auto Small = W.submit("small", 1'000, 1'000);
+    CPPUNIT_ASSERT(!Small->Refused);
+    CPPUNIT_ASSERT_EQUAL(std::size_t(1), W.Queue.waiting());
+  }
+
+  // Guards against one backlogged workspace far ahead of another.
+  void leastServedWorkspaceGetsSpareCapacityFirst() {
+    World W;
+    const double Window = 4 * TokensPerSecond;
+    const WorkspaceKey Ahead(stableHash("ahead"));
+    const WorkspaceKey Behind(stableHash("behind"));
+    for (const WorkspaceKey Who : {Ahead, Behind})
+      W.Shares.asked(Who, 2 * Window);
+    W.Shares.admitted(Ahead, Window);
+    W.Shares.admitted(Behind, Window / 3);
+    W.Shares.update(TokensPerSecond);
+    CPPUNIT_ASSERT(!W.Shares.mayExceed(Ahead));
+    CPPUNIT_ASSERT(W.Shares.mayExceed(Behind));
+  }
+
+  // Guards against capacity that idles while work is refused.
+  void capacityIsNotLeftIdleForShares() {
+    World W;
+    const double Window = 4 * TokensPerSecond;
+    W.Shares.asked(WorkspaceKey(stableHash("only")), 3 * Window);
+    W.Shares.admitted(WorkspaceKey(stableHash("only")), 2 * Window);
+    W.Shares.update(TokensPerSecond);
+    const auto Request = W.submit("only", 1'000, 1'000);
+    CPPUNIT_ASSERT(!Request->Refused);
+    CPPUNIT_ASSERT(!Request->Placed.empty());
+  }
+
+  // Guards against sending callers away for longer than they can be on time.
+  void refusedCallersMayStillBeOnTime() {
+    World W;
+    W.Queue.stop();
+    W.Table.update({});
+    World Empty;
+    Empty.Table.update({});
+    for (int Round = 0; Round < 50; ++Round) {
+      const auto Request = Empty.submit("desk", 1'000, 1'000);
+      CPPUNIT_ASSERT(Request->Refused == Refusal::NoUpstream);
+      CPPUNIT_ASSERT(Request->Return <= Milliseconds(300));
+      CPPUNIT_ASSERT(Request->Return >= Milliseconds(100));
+    }
+  }
+
+  // Guards against a request held until its deadline.
+  void waitingRequestIsGivenUpInTime() {
+    World W;
+    W.fillEngines();
+    const auto Request = W.submit("desk", 1'000, 1'000);
+    CPPUNIT_ASSERT(!Request->Refused);
+    W.Time.advance(Milliseconds(301));
+    W.Queue.expire();
+    CPPUNIT_ASSERT(Request->Refused == Refusal::NoRoom);
+    CPPUNIT_ASSERT_EQUAL(std::size_t(0), W.Queue.waiting());
+  }
+
+  // Guards against a storm of repeats after upstreams fail.
+  void repeatsOfTheWholeFleetStayWithinTheBudget() {
+    constexpr std::size_t Routers = 8;
+    constexpr double Ratio = 0.2;
+    constexpr double Slack = 56;
+    constexpr int WindowSeconds = 10;
+    const bool Holds = rc::check([&](std::uint8_t Requests) {
+      ManualClock Time;
+      std::vector<RetryAllowance> All;
+      for (std::size_t At = 0; At < Routers; ++At) {
+        All.emplace_back(
+            RetryBounds{Ratio, Slack, std::chrono::seconds(WindowSeconds)},
+            Time);
+        All.back().setRouters(Routers);
+      }
+      double Repeats = 0;
+      for (int Second = 0; Second < WindowSeconds; ++Second) {
+        for (RetryAllowance &Each : All) {
+          for (unsigned At = 0; At < Requests / 8U; ++At)
+            Each.request(Models);
+          while (Each.take(Models))
+            ++Repeats;
+        }
+        Time.advance(std::chrono::seconds(1));
+      }
+      const double Sent =
+          static_cast<double>(Requests / 8U) * Routers * WindowSeconds;
+      RC_ASSERT(Repeats <= Ratio * Sent + Slack);
+    });
+    CPPUNIT_ASSERT(Holds);
+  }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(DataplaneDecisionsTest);
