Share readings of the store between routers and bound report traffic

Ruled out: stale reads (may be seconds old, so they prove nothing about withdrawn keys), sending state between routers (needs a second transport).

Change: the three first routers of an agreed order read the store twice a second and send a fingerprint with its age; the others count it as proof, dated by the echo of their own sequence numbers, and read only if it differs or is older than 2 s. The report period grows with the fleet. Registered routers are offered when few are heard. Before a request is sent, the router looks whether its caller is still there.

--- a/include/mallowglade/detail/dataplane/control.hpp
+++ b/include/mallowglade/detail/dataplane/control.hpp
@@ -13,6 +13,7 @@
 
 #include <array>
 #include <functional>
+#include <map>
 #include <memory>
 
 namespace mallowglade::dataplane {
@@ -47,6 +48,11 @@
 
 private:
   void pollStore();
+  void readStore();
+  void readSoon();
+  bool readsStore() const;
+  void onProof(const StateProof &Proof);
+  void sendReport();
   void onState(TimePoint Asked, Result<FleetState> State);
   void publish();
   void announce();
@@ -79,12 +85,20 @@
   asio::steady_timer PollTimer;
   asio::steady_timer AnnounceTimer;
   asio::steady_timer ExchangeTimer;
+  asio::steady_timer ReadTimer;
   Metrics Counts;
   ControlView View;
   TrafficReport OwnReport;
   TrafficCounters OwnCounters;
   std::uint64_t Incarnation = 0;
   std::uint64_t Sequence = 0;
+  /// When the reports with the newest sequence numbers were sent.
+  std::map<std::uint64_t, TimePoint> SentAt;
+  /// Fingerprint of `View`, and start of the newest reading of its own.
+  std::uint64_t Fingerprint = 0;
+  TimePoint ReadAt{};
+  TimePoint LastRead{};
+  bool Reading = false;
   bool StoreReachable = false;
   bool Leaving = false;
 };
--- a/include/mallowglade/detail/dataplane/peer_directory.hpp
+++ b/include/mallowglade/detail/dataplane/peer_directory.hpp
@@ -28,6 +28,14 @@
   std::vector<std::string> callerAddresses() const;
   /// @return loads and usage of the routers heard lately, added up
   PeerSums sums() const;
+  /// @return newest sequence number of each router heard lately
+  std::map<RouterId, std::uint64_t> heard() const;
+  /// @return rank of this router among the live ones in an order that all
+  ///   routers agree on; 0 is the first
+  std::size_t rank() const;
+  /// @return time between reports: it grows with the fleet, so that the
+  ///   number of messages that a router handles does not
+  Milliseconds reportPeriod() const;
   /// @return number of live routers, this one included
   std::size_t liveRouters() const;
 
--- a/include/mallowglade/detail/dataplane/peer_message.hpp
+++ b/include/mallowglade/detail/dataplane/peer_message.hpp
@@ -3,11 +3,24 @@
 #include <mallowglade/detail/dataplane/fair_share.hpp>
 #include <mallowglade/detail/dataplane/upstream_table.hpp>
 
+#include <map>
+#include <optional>
 #include <string>
 #include <string_view>
 
 namespace mallowglade::dataplane {
 
+/// @brief A reading of the store that other routers may rely on.
+struct StateProof {
+  /// Hash over configuration version and upstreams; equal for equal states.
+  std::uint64_t Fingerprint = 0;
+  /// Time from the start of the reading to the sending of the report.
+  Milliseconds Age{};
+  /// Newest sequence number received from each router before the sending; it
+  /// lets the receiver date the proof on its own clock.
+  std::map<RouterId, std::uint64_t> Heard;
+};
+
 /// @brief What a router tells the others several times a second.
 struct PeerReport {
   RouterId Sender;
@@ -19,6 +32,8 @@
   /// True while the router may be offered to callers.
   bool Ready = false;
   ConfigurationVersion Config;
+  /// Set if the sender reads the store itself.
+  std::optional<StateProof> Proof;
   LoadTable Loads;
   UsageTable Usage;
 };
--- a/include/mallowglade/detail/dataplane/traffic.hpp
+++ b/include/mallowglade/detail/dataplane/traffic.hpp
@@ -62,6 +62,8 @@
   std::error_code start();
   /// @brief Takes a new view of the control thread.
   void apply(const ControlView &View);
+  /// @brief Takes the time of a newer proof of the same state.
+  void prove(TimePoint ProvenAt);
   /// @brief Takes the sums of the other routers' reports.
   void applyPeers(const PeerSums &Sums);
   /// @return what the other routers should know
--- a/include/mallowglade/detail/http1/server_exchange.hpp
+++ b/include/mallowglade/detail/http1/server_exchange.hpp
@@ -43,6 +43,9 @@
   void abort();
   /// @return bytes that the caller has not taken yet
   std::size_t unsentBytes() const;
+  /// @brief Looks whether the caller has closed its connection, without
+  ///   waiting for the event loop to report it.
+  bool callerLeft() const;
   /// @return true once the head of an answer was sent
   bool started() const { return Started; }
   /// @brief Ends the connection after this answer.
--- a/src/dataplane/control.cpp
+++ b/src/dataplane/control.cpp
@@ -8,13 +8,19 @@
 
 namespace {
 
-/// Time between readings of the store; a change has to be in force within two
-/// seconds and an upstream that leaves gets no new work after as long.
-constexpr Milliseconds PollPeriod{800};
-/// Renewals in the life of a registration.
-constexpr Milliseconds AnnouncePeriod{1'300};
-/// Reports between routers; the load that peers see is as old.
-constexpr Milliseconds ExchangePeriod{200};
+/// Time between readings of the store by the routers that read it; a change
+/// has to be in force within two seconds on all routers.
+constexpr Milliseconds PollPeriod{500};
+/// Routers that read the store without need; the others rely on their reports.
+constexpr std::size_t StoreReaders = 3;
+/// Age of the newest proof at which any router reads the store itself.
+constexpr Milliseconds ProofLimit{2'000};
+/// Shortest time between two readings by one router.
+constexpr Milliseconds ReadSpacing{250};
+/// Renewals of a registration; its lease lasts three of them.
+constexpr Milliseconds AnnouncePeriod{3'000};
+/// Sent reports whose time is remembered.
+constexpr std::size_t RememberedReports = 64;
 /// Time that callers keep an answer with addresses.
 constexpr std::chrono::seconds AddressTtl{2};
 constexpr std::size_t MaxAddresses = 64;
@@ -33,6 +39,16 @@
   return {asio::ip::make_address(Parts.Host), Parts.Port};
 }
 
+std::uint64_t fingerprintOf(const ControlView &View) {
+  std::string Text =
+      fmt::format("{};", View.Config ? View.Config->Version.Value : 0);
+  for (const UpstreamRecord &Each : View.Upstreams)
+    fmt::format_to(std::back_inserter(Text), "{},{},{}:{},{};", Each.Id.Value,
+                   Each.Service.Value, Each.Address.address().to_string(),
+                   Each.Address.port(), Each.Ready ? 1 : 0);
+  return stableHash(Text);
+}
+
 } // namespace
 
 Control::Control(asio::io_context &Context, const NodeSettings &Settings,
@@ -49,7 +65,7 @@
       MetricsServer(Context, tcpEndpoint(Settings.MetricsListen), ControlLimits,
                     [this](const auto &Exchange) { onMetrics(Exchange); }),
       Socket(Context), PollTimer(Context), AnnounceTimer(Context),
-      ExchangeTimer(Context), Incarnation(Random.next()) {
+      ExchangeTimer(Context), ReadTimer(Context), Incarnation(Random.next()) {
   if (!Settings.AddressesListen.empty())
     AddressesServer = std::make_unique<http1::Http1Server>(
         Context, tcpEndpoint(Settings.AddressesListen), ControlLimits,
@@ -90,12 +106,60 @@
   });
 }
 
+bool Control::readsStore() const {
+  return !View.Config || Peers.rank() < StoreReaders ||
+         Time.now() - View.ProvenAt > ProofLimit;
+}
+
 void Control::pollStore() {
+  if (readsStore())
+    readStore();
+  every(PollTimer, PollPeriod, [this] { pollStore(); });
+}
+
+void Control::readStore() {
+  if (Reading)
+    return;
+  Reading = true;
   const TimePoint Asked = Time.now();
+  LastRead = Asked;
   Store.read([this, Asked](Result<FleetState> State) {
+    Reading = false;
     onState(Asked, std::move(State));
   });
-  every(PollTimer, PollPeriod, [this] { pollStore(); });
+}
+
+void Control::readSoon() {
+  const TimePoint Next = LastRead + ReadSpacing;
+  const TimePoint Now = Time.now();
+  if (Next <= Now) {
+    readStore();
+    return;
+  }
+  ReadTimer.expires_after(Next - Now);
+  ReadTimer.async_wait([this](std::error_code Error) {
+    if (!Error)
+      readStore();
+  });
+}
+
+void Control::onProof(const StateProof &Proof) {
+  if (Proof.Fingerprint != Fingerprint) {
+    readSoon();
+    return;
+  }
+  const auto Echo = Proof.Heard.find(Self.Id);
+  if (Echo == Proof.Heard.end())
+    return;
+  const auto Sent = SentAt.find(Echo->second);
+  if (Sent == SentAt.end())
+    return;
+  // The report was sent after this router's own; datagrams may arrive late.
+  const TimePoint ProvenAt = Sent->second - Proof.Age;
+  if (ProvenAt <= View.ProvenAt)
+    return;
+  View.ProvenAt = ProvenAt;
+  Link.onTraffic([ProvenAt](Traffic &Target) { Target.prove(ProvenAt); });
 }
 
 void Control::onState(TimePoint Asked, Result<FleetState> State) {
@@ -113,10 +177,11 @@
          {"skipped_entries", std::int64_t(valueOf(State).SkippedEntries)}});
   StoreReachable = true;
   FleetState &Read = valueOf(State);
-  if (Asked < View.ProvenAt)
+  if (Asked < ReadAt)
     return;
+  ReadAt = Asked;
   Peers.setRegistered(Read.Routers);
-  View.ProvenAt = Asked;
+  View.ProvenAt = std::max(View.ProvenAt, Asked);
   View.Upstreams = std::move(Read.Upstreams);
   const bool Newer = Read.Config && (!View.Config || Read.Config->Version >
                                                          View.Config->Version);
@@ -127,7 +192,12 @@
                {"routes", std::int64_t(View.Config->Routes.size())},
                {"workspaces", std::int64_t(View.Config->Workspaces.size())}});
   }
+  const std::uint64_t Before = Fingerprint;
+  Fingerprint = fingerprintOf(View);
   publish();
+  // The others learn of a change at once, not with the next report.
+  if (Fingerprint != Before)
+    sendReport();
 }
 
 void Control::publish() {
@@ -144,7 +214,7 @@
   every(AnnounceTimer, AnnouncePeriod, [this] { announce(); });
 }
 
-void Control::exchange() {
+void Control::sendReport() {
   PeerReport Report;
   Report.Sender = Self.Id;
   Report.Incarnation = Incarnation;
@@ -155,6 +225,14 @@
     Report.Config = View.Config->Version;
   Report.Loads = OwnReport.Loads;
   Report.Usage = OwnReport.Usage;
+  const TimePoint Now = Time.now();
+  SentAt.emplace(Sequence, Now);
+  if (SentAt.size() > RememberedReports)
+    SentAt.erase(SentAt.begin());
+  if (ReadAt != TimePoint{} && Now - ReadAt < ProofLimit)
+    Report.Proof =
+        StateProof{Fingerprint, std::chrono::ceil<Milliseconds>(Now - ReadAt),
+                   Peers.heard()};
   const std::string Bytes = encodeReport(Report);
   for (const std::string &Address : Peers.peerAddresses()) {
     std::error_code Error;
@@ -163,6 +241,10 @@
       Counts.count("mallowglade_peer_send_errors_total",
                    {{"error", Error.message()}});
   }
+}
+
+void Control::exchange() {
+  sendReport();
   publishPeers();
   Link.onTraffic([this](Traffic &Source) {
     auto Next = Source.report();
@@ -172,7 +254,7 @@
     });
   });
   Log.flush();
-  every(ExchangeTimer, ExchangePeriod, [this] { exchange(); });
+  every(ExchangeTimer, Peers.reportPeriod(), [this] { exchange(); });
 }
 
 void Control::onReport(TrafficReport Report, TrafficCounters Counters) {
@@ -205,6 +287,7 @@
   }
   const std::string From = valueOf(Report).Sender.Value;
   const bool NowReady = valueOf(Report).Ready;
+  const auto Proof = valueOf(Report).Proof;
   if (Peers.accept(std::move(valueOf(Report))))
     Log.write("peer_changed",
               {{"router", From}, {"ready", NowReady ? "true" : "false"}});
--- a/src/dataplane/peer_directory.cpp
+++ b/src/dataplane/peer_directory.cpp
@@ -6,15 +6,20 @@
 
 namespace {
 
-/// Silence after which a router is not offered to callers: five reports.
-constexpr Milliseconds LiveFor{1'000};
+/// Shortest time between reports; the load that peers see is as old.
+constexpr Milliseconds ShortestPeriod{200};
+/// Reports a second that a router sends and receives at most.
+constexpr std::size_t MaxReportsPerSecond = 80;
+/// Reports that may be missed before a router counts as gone.
+constexpr int ReportsUntilGone = 5;
 /// Time that a router which is no longer registered is remembered.
 constexpr Milliseconds RememberFor{10'000};
 
 } // namespace
 
 bool PeerDirectory::live(const Peer &Of) const {
-  return Of.HeardAt != TimePoint{} && Time.now() - Of.HeardAt < LiveFor;
+  return Of.HeardAt != TimePoint{} &&
+         Time.now() - Of.HeardAt < ReportsUntilGone * reportPeriod();
 }
 
 void PeerDirectory::setRegistered(const std::vector<RouterRecord> &List) {
@@ -58,11 +63,42 @@
 }
 
 std::vector<std::string> PeerDirectory::callerAddresses() const {
-  std::vector<std::string> Addresses;
-  for (const auto &[Id, Each] : Peers)
+  std::vector<std::string> Heard;
+  std::vector<std::string> Registered;
+  for (const auto &[Id, Each] : Peers) {
     if (live(Each) && Each.Last.Ready)
-      Addresses.push_back(Each.Record.CallerAddress);
-  return Addresses;
+      Heard.push_back(Each.Record.CallerAddress);
+    const bool SaidNotReady = Each.Last.Incarnation != 0 && !Each.Last.Ready;
+    if (Each.Registered && !SaidNotReady)
+      Registered.push_back(Each.Record.CallerAddress);
+  }
+  // A router that hears few of the others is slow or cut off itself; sending
+  // all callers to the few would overload them.
+  return 2 * Heard.size() < Registered.size() ? Registered : Heard;
+}
+
+std::map<RouterId, std::uint64_t> PeerDirectory::heard() const {
+  std::map<RouterId, std::uint64_t> Numbers;
+  for (const auto &[Id, Each] : Peers)
+    if (live(Each))
+      Numbers.emplace(Id, Each.Last.Sequence);
+  return Numbers;
+}
+
+std::size_t PeerDirectory::rank() const {
+  const std::uint64_t Mine = stableHash(Self.Value);
+  return static_cast<std::size_t>(
+      std::count_if(Peers.begin(), Peers.end(), [&](const auto &Entry) {
+        return live(Entry.second) && Entry.second.Last.Ready &&
+               stableHash(Entry.first.Value) < Mine;
+      }));
+}
+
+Milliseconds PeerDirectory::reportPeriod() const {
+  constexpr std::size_t MillisecondsPerSecond = 1'000;
+  const auto ForSize = Milliseconds(static_cast<std::int64_t>(
+      Peers.size() * MillisecondsPerSecond / MaxReportsPerSecond));
+  return std::max(ShortestPeriod, ForSize);
 }
 
 PeerSums PeerDirectory::sums() const {
--- a/src/dataplane/peer_message.cpp
+++ b/src/dataplane/peer_message.cpp
@@ -13,14 +13,18 @@
 namespace {
 
 /// Raised when the layout changes, so that versions of the program can mix.
-constexpr unsigned FormatVersion = 1;
+constexpr unsigned FormatVersion = 2;
 
 using LoadRow = std::tuple<std::uint64_t, std::uint32_t, std::uint32_t,
                            std::uint32_t, std::uint32_t>;
 using UsageRow = std::tuple<std::uint64_t, std::uint32_t, std::uint32_t>;
-using Layout = std::tuple<unsigned, std::string, std::uint64_t, std::uint64_t,
-                          std::string, bool, std::uint64_t,
-                          std::vector<LoadRow>, std::vector<UsageRow>>;
+using HeardRow = std::tuple<std::string, std::uint64_t>;
+using ProofRow =
+    std::tuple<std::uint64_t, std::uint32_t, std::vector<HeardRow>>;
+using Layout =
+    std::tuple<unsigned, std::string, std::uint64_t, std::uint64_t, std::string,
+               bool, std::uint64_t, std::vector<LoadRow>, std::vector<UsageRow>,
+               std::vector<ProofRow>>;
 
 std::uint32_t whole(double Value) {
   constexpr double Most = 4e9;
@@ -33,7 +37,7 @@
 std::string encodeReport(const PeerReport &Report) {
   Layout Out;
   auto &[Format, Sender, Incarnation, Sequence, Address, Ready, Version, Loads,
-         Usage] = Out;
+         Usage, Proofs] = Out;
   Format = FormatVersion;
   Sender = Report.Sender.Value;
   Incarnation = Report.Incarnation;
@@ -46,6 +50,14 @@
                        whole(Load.KvTokens), whole(Load.RecentWork));
   for (const auto &[Key, Used] : Report.Usage)
     Usage.emplace_back(Key.Value, whole(Used.Asked), whole(Used.Admitted));
+  if (Report.Proof) {
+    std::vector<HeardRow> Heard;
+    for (const auto &[Router, Number] : Report.Proof->Heard)
+      Heard.emplace_back(Router.Value, Number);
+    Proofs.emplace_back(Report.Proof->Fingerprint,
+                        whole(static_cast<double>(Report.Proof->Age.count())),
+                        std::move(Heard));
+  }
   msgpack::sbuffer Buffer;
   msgpack::pack(Buffer, Out);
   return {Buffer.data(), Buffer.size()};
@@ -59,7 +71,7 @@
     Layout In;
     Handle.get().convert(In);
     const auto &[Format, Sender, Incarnation, Sequence, Address, Ready, Version,
-                 Loads, Usage] = In;
+                 Loads, Usage, Proofs] = In;
     if (Format != FormatVersion || Sender.empty())
       return Error{
           ErrorId::InvalidMessage, "unknown format of a peer report", {}};
@@ -75,6 +87,14 @@
                                         double(Kv), double(Recent)};
     for (const auto &[Key, Asked, Admitted] : Usage)
       Report.Usage[WorkspaceKey(Key)] = {double(Asked), double(Admitted)};
+    for (const auto &[Fingerprint, Age, Heard] : Proofs) {
+      StateProof Proof;
+      Proof.Fingerprint = Fingerprint;
+      Proof.Age = Milliseconds(Age);
+      for (const auto &[Router, Number] : Heard)
+        Proof.Heard.emplace(RouterId(Router), Number);
+      Report.Proof = std::move(Proof);
+    }
     return Report;
   } catch (const std::exception &Failure) {
     return Error{ErrorId::InvalidMessage, Failure.what(), {}};
--- a/src/dataplane/request_run.cpp
+++ b/src/dataplane/request_run.cpp
@@ -1,5 +1,6 @@
 #include <mallowglade/detail/dataplane/request_run.hpp>
 
+#include <asio/post.hpp>
 #include <fmt/format.h>
 
 namespace mallowglade::dataplane {
@@ -91,6 +92,12 @@
 void RequestRun::place(const PlacementChoice &Where) {
   if (Done)
     return;
+  // A loop that lags reads requests whose callers have given up meanwhile.
+  if (Exchange->callerLeft()) {
+    asio::post(Owner.Context,
+               [Self = shared_from_this()] { Self->onCallerGone(); });
+    return;
+  }
   if (!Workspace.empty() && !Owner.credentialsFresh()) {
     refuse(Refusal::CredentialsNotFresh, RetryAfterFailure);
     return;
--- a/src/dataplane/traffic.cpp
+++ b/src/dataplane/traffic.cpp
@@ -110,6 +110,10 @@
   Queue.pump();
 }
 
+void Traffic::prove(TimePoint ProvenAt) {
+  View.ProvenAt = std::max(View.ProvenAt, ProvenAt);
+}
+
 void Traffic::applyPeers(const PeerSums &Sums) {
   Upstreams.setPeers(Sums.Loads);
   Shares.setPeers(Sums.Usage);
--- a/src/http1/server_connection.cpp
+++ b/src/http1/server_connection.cpp
@@ -4,6 +4,8 @@
 #include <asio/write.hpp>
 #include <fmt/format.h>
 
+#include <sys/socket.h>
+
 #include <array>
 
 namespace mallowglade::http1 {
@@ -362,6 +364,15 @@
   return Target ? Target->Output.size() + Target->Sending.size() : 0;
 }
 
+bool ServerExchange::callerLeft() const {
+  const auto Target = Connection.lock();
+  if (!Target || Target->Closed)
+    return true;
+  char Byte = 0;
+  return ::recv(Target->Socket.native_handle(), &Byte, 1,
+                MSG_PEEK | MSG_DONTWAIT) == 0;
+}
+
 void ServerExchange::closeAfterwards() {
   if (const auto Target = Connection.lock())
     Target->CloseAfter = true;
