Bound open connections, detect overload, make placement cheap

Placement read the clock and computed exponentials for each of 140 upstreams of each try.

Change: idle connections are closed, oldest first, and answers end their connection once half of the connections are in use; a router whose event loop lags refuses streams and is not offered; recent work decays in steps; a pump stops after six requests without room.

The decision tests found recent work wiped by the first decay step; mended.

--- a/include/mallowglade/detail/dataplane/control.hpp
+++ b/include/mallowglade/detail/dataplane/control.hpp
@@ -43,6 +43,8 @@
   void leave();
   /// @return true while callers may be sent here
   bool ready() const;
+  /// @return true while this router should be named to callers
+  bool offered() const;
   /// @brief Takes the traffic thread's report.
   void onReport(TrafficReport Report, TrafficCounters Counters);
 
@@ -86,6 +88,7 @@
   asio::steady_timer AnnounceTimer;
   asio::steady_timer ExchangeTimer;
   asio::steady_timer ReadTimer;
+  asio::steady_timer ReceiveTimer;
   Metrics Counts;
   ControlView View;
   TrafficReport OwnReport;
--- a/include/mallowglade/detail/dataplane/placement.hpp
+++ b/include/mallowglade/detail/dataplane/placement.hpp
@@ -87,10 +87,11 @@
   bool anyUsable(const ServiceId &Name) const;
 
 private:
-  bool usable(const UpstreamState &Upstream, const PlacementQuery &Query) const;
+  bool usable(const UpstreamState &Upstream, const PlacementQuery &Query,
+              TimePoint Now) const;
   bool fits(const UpstreamState &Upstream, const PlacementQuery &Query,
             bool PartsKept) const;
-  PlacementChoice leastLoaded(const PlacementQuery &Query) const;
+  PlacementChoice leastLoaded(const PlacementQuery &Query, TimePoint Now) const;
   bool canFetch(const ServiceId &Name) const;
 
   UpstreamTable &Table;
--- a/include/mallowglade/detail/dataplane/traffic.hpp
+++ b/include/mallowglade/detail/dataplane/traffic.hpp
@@ -3,6 +3,7 @@
 #include <mallowglade/detail/dataplane/admission.hpp>
 #include <mallowglade/detail/dataplane/event_log.hpp>
 #include <mallowglade/detail/dataplane/node_settings.hpp>
+#include <mallowglade/detail/dataplane/overload.hpp>
 #include <mallowglade/detail/dataplane/wire_protocol.hpp>
 #include <mallowglade/detail/http1/server.hpp>
 #include <mallowglade/detail/http1/upstream_pool.hpp>
@@ -35,6 +36,8 @@
   LoadTable Loads;
   UsageTable Usage;
   std::size_t BusyConnections = 0;
+  /// True while callers should be sent to other routers.
+  bool Overloaded = false;
 };
 
 /// @brief Counters of the traffic thread, for the metrics.
@@ -107,6 +110,7 @@
   ControlView View;
   TrafficCounters Counters;
   asio::steady_timer Ticker;
+  OverloadDetector Overload;
   bool PumpScheduled = false;
   bool Refusing = false;
   bool RefusingStreams = false;
--- a/include/mallowglade/detail/dataplane/upstream_table.hpp
+++ b/include/mallowglade/detail/dataplane/upstream_table.hpp
@@ -45,12 +45,9 @@
   TimePoint AvoidUntil{};
   /// Failures since the last answer.
   unsigned FailuresInARow = 0;
-  /// When `Own.RecentWork` and `Peers.RecentWork` were last brought up to date.
-  TimePoint OwnDecayedAt{};
-  TimePoint PeersDecayedAt{};
 
-  /// @return work of all routers at a point in time
-  UpstreamLoad total(TimePoint Now) const;
+  /// @return work of all routers
+  UpstreamLoad total() const;
 };
 
 /// @brief The upstreams and the work at them; owned by the traffic thread.
@@ -71,6 +68,8 @@
   void add(const UpstreamId &Id, const UpstreamLoad &Work);
   /// @brief Counts work that has ended.
   void remove(const UpstreamId &Id, const UpstreamLoad &Work);
+  /// @brief Lets recent work decay up to now; cheap if called often.
+  void decay(TimePoint Now);
   /// @brief Notes a failure that the upstream itself may have caused.
   void failed(const UpstreamId &Id);
   /// @brief Notes an answer.
@@ -83,6 +82,7 @@
   std::map<UpstreamId, UpstreamState> All;
   std::unordered_map<ServiceId, std::vector<UpstreamState *>> ByService;
   LoadTable PeerSum;
+  TimePoint DecayedAt{};
 };
 
 } // namespace mallowglade::dataplane
--- a/include/mallowglade/detail/http1/server.hpp
+++ b/include/mallowglade/detail/http1/server.hpp
@@ -9,7 +9,9 @@
 #include <chrono>
 #include <cstdint>
 #include <functional>
+#include <list>
 #include <memory>
+#include <optional>
 #include <unordered_set>
 
 namespace mallowglade::http1 {
@@ -23,6 +25,9 @@
   /// Longest time without a request on an open connection.
   std::chrono::milliseconds IdleTimeout{};
   std::size_t MaxConnections = 0;
+  /// Connections above which idle ones are closed, oldest first, and answers
+  /// end their connection.
+  std::size_t CrowdedConnections = 0;
   /// Most bytes of request bodies held by all connections.
   std::size_t MaxBufferedBytes = 0;
 };
@@ -73,6 +78,8 @@
   void armTimer(std::chrono::milliseconds Delay);
   void onTimer();
   void releaseBody();
+  void markIdle();
+  void markBusy();
   std::string headOf(unsigned Status, const HeaderList &Fields) const;
 
   asio::ip::tcp::socket Socket;
@@ -85,6 +92,7 @@
   std::string Output;
   std::string Sending;
   std::size_t BufferedBody = 0;
+  std::optional<std::list<ServerConnection *>::iterator> IdlePlace;
   bool Reading = false;
   bool Closed = false;
   bool CloseAfter = false;
@@ -122,6 +130,8 @@
 private:
   friend class ServerConnection;
   void accept();
+  bool crowded() const { return Open.size() > Limits.CrowdedConnections; }
+  void closeOldestIdle();
 
   asio::io_context &Context;
   asio::ip::tcp::endpoint Address;
@@ -131,6 +141,8 @@
   RequestHandler Handler;
   ServerCounters Counters;
   std::unordered_set<ServerConnection *> Open;
+  /// Connections without a request, the longest idle first.
+  std::list<ServerConnection *> Idle;
   std::size_t BufferedBytes = 0;
   bool Draining = false;
 };
--- a/src/dataplane/admission.cpp
+++ b/src/dataplane/admission.cpp
@@ -9,6 +9,9 @@
 
 /// Requests that may wait in one router; each holds its body in memory.
 constexpr std::size_t MaxWaiting = 400;
+/// Requests that find no room before the rest is not tried; each try looks at
+/// all upstreams.
+constexpr unsigned MaxFailuresInARow = 6;
 /// A caller that comes back within its latency objective can still be served
 /// on time; returns are spread, so that callers do not come together.
 constexpr double EarliestReturn = 0.2;
@@ -116,13 +119,20 @@
                        return Left.Fill < Right.Fill;
                      return precedes(*Left.Request, *Right.Request);
                    });
+  unsigned Failures = 0;
   for (const Ranked &Next : Order) {
+    if (Failures >= MaxFailuresInARow)
+      break;
     const auto At = std::find(Queue.begin(), Queue.end(), Next.Request);
     if (At == Queue.end())
       continue;
     const auto Position = Queue.erase(At);
-    if (!tryPlace(*Next.Request))
-      Queue.insert(Position, Next.Request);
+    if (tryPlace(*Next.Request)) {
+      Failures = 0;
+      continue;
+    }
+    ++Failures;
+    Queue.insert(Position, Next.Request);
   }
   Pumping = false;
 }
--- a/src/dataplane/control.cpp
+++ b/src/dataplane/control.cpp
@@ -19,6 +19,8 @@
 constexpr Milliseconds ReadSpacing{250};
 /// Renewals of a registration; its lease lasts three of them.
 constexpr Milliseconds AnnouncePeriod{3'000};
+/// Time between looks for reports of other routers.
+constexpr Milliseconds ReceivePeriod{80};
 /// Sent reports whose time is remembered.
 constexpr std::size_t RememberedReports = 64;
 /// Time that callers keep an answer with addresses.
@@ -65,7 +67,8 @@
       MetricsServer(Context, tcpEndpoint(Settings.MetricsListen), ControlLimits,
                     [this](const auto &Exchange) { onMetrics(Exchange); }),
       Socket(Context), PollTimer(Context), AnnounceTimer(Context),
-      ExchangeTimer(Context), ReadTimer(Context), Incarnation(Random.next()) {
+      ExchangeTimer(Context), ReadTimer(Context), ReceiveTimer(Context),
+      Incarnation(Random.next()) {
   if (!Settings.AddressesListen.empty())
     AddressesServer = std::make_unique<http1::Http1Server>(
         Context, tcpEndpoint(Settings.AddressesListen), ControlLimits,
@@ -220,7 +223,7 @@
   Report.Incarnation = Incarnation;
   Report.Sequence = ++Sequence;
   Report.CallerAddress = Self.CallerAddress;
-  Report.Ready = ready();
+  Report.Ready = offered();
   if (View.Config)
     Report.Config = View.Config->Version;
   Report.Loads = OwnReport.Loads;
@@ -268,14 +271,20 @@
 }
 
 void Control::receive() {
-  Socket.async_receive_from(asio::buffer(Datagram), Sender,
-                            [this](std::error_code Error, std::size_t Size) {
-                              if (Error == asio::error::operation_aborted)
-                                return;
-                              if (!Error)
-                                onDatagram(Size);
-                              receive();
-                            });
+  // Datagrams are taken together: one wake-up for each would cost more than
+  // their content.
+  std::error_code Error;
+  while (true) {
+    const std::size_t Size =
+        Socket.receive_from(asio::buffer(Datagram), Sender, 0, Error);
+    if (Error)
+      break;
+    onDatagram(Size);
+  }
+  if (Error != asio::error::would_block)
+    Counts.count("mallowglade_peer_receive_errors_total",
+                 {{"error", Error.message()}});
+  every(ReceiveTimer, ReceivePeriod, [this] { receive(); });
 }
 
 void Control::onDatagram(std::size_t Size) {
@@ -295,6 +304,8 @@
 
 bool Control::ready() const { return View.Config && !Leaving; }
 
+bool Control::offered() const { return ready() && !OwnReport.Overloaded; }
+
 void Control::leave() {
   Leaving = true;
   Store.withdraw();
@@ -318,7 +329,7 @@
     return;
   }
   std::vector<std::string> Addresses = Peers.callerAddresses();
-  if (ready())
+  if (offered() || (ready() && Addresses.empty()))
     Addresses.push_back(Self.CallerAddress);
   if (Addresses.size() > MaxAddresses) {
     for (std::size_t At = 0; At < MaxAddresses; ++At)
--- a/src/dataplane/placement.cpp
+++ b/src/dataplane/placement.cpp
@@ -58,8 +58,8 @@
 }
 
 bool Placement::usable(const UpstreamState &Upstream,
-                       const PlacementQuery &Query) const {
-  return Upstream.Record.Ready && Upstream.AvoidUntil <= Time.now() &&
+                       const PlacementQuery &Query, TimePoint Now) const {
+  return Upstream.Record.Ready && Upstream.AvoidUntil <= Now &&
          !Query.Excluded.contains(Upstream.Record.Id);
 }
 
@@ -72,7 +72,7 @@
 
 bool Placement::fits(const UpstreamState &Upstream, const PlacementQuery &Query,
                      bool PartsKept) const {
-  const UpstreamLoad Now = Upstream.total(Time.now());
+  const UpstreamLoad Now = Upstream.total();
   const double Slots = std::max(1U, Upstream.Record.Slots);
   if (Now.Running + 1 > Slots)
     return false;
@@ -100,13 +100,15 @@
 PlacementChoice Placement::choose(const PlacementQuery &Query) const {
   if (Config == nullptr)
     return {};
+  const TimePoint Now = Time.now();
+  Table.decay(Now);
   if (!Query.Affinity)
-    return leastLoaded(Query);
+    return leastLoaded(Query, Now);
   const auto &All = Table.ofService(Query.Service);
   std::vector<std::pair<std::uint64_t, UpstreamState *>> Ranked;
   Ranked.reserve(All.size());
   for (UpstreamState *State : All)
-    if (usable(*State, Query))
+    if (usable(*State, Query, Now))
       Ranked.emplace_back(
           stableHash({reinterpret_cast<const char *>(&State->Key.Value),
                       sizeof(State->Key.Value)},
@@ -124,7 +126,7 @@
   for (std::size_t Rank = 0; Rank < Tried; ++Rank)
     if (fits(*Ranked[Rank].second, Query, Rank == 0))
       return {Ranked[Rank].second, Rank == 0, Rank == 0 ? nullptr : FetchFrom};
-  PlacementChoice Choice = leastLoaded(Query);
+  PlacementChoice Choice = leastLoaded(Query, Now);
   Choice.FetchFrom = FetchFrom;
   return Choice;
 }
@@ -134,16 +136,17 @@
   return Kind != nullptr && Kind->Engine && Kind->Engine->FetchesParts;
 }
 
-PlacementChoice Placement::leastLoaded(const PlacementQuery &Query) const {
+PlacementChoice Placement::leastLoaded(const PlacementQuery &Query,
+                                       TimePoint Now) const {
   PlacementChoice Best;
   double BestScore = 0;
   for (UpstreamState *State : Table.ofService(Query.Service)) {
-    if (!usable(*State, Query) || !fits(*State, Query, false))
+    if (!usable(*State, Query, Now) || !fits(*State, Query, false))
       continue;
-    const UpstreamLoad Now = State->total(Time.now());
+    const UpstreamLoad Load = State->total();
     const double Slots = std::max(1U, State->Record.Slots);
     // The own zone wins between upstreams of equal load.
-    const double Score = Now.Running / Slots + Now.UnreadPrompt / 10'000 +
+    const double Score = Load.Running / Slots + Load.UnreadPrompt / 10'000 +
                          (State->Record.Zone == Zone ? 0 : 0.5 / Slots);
     if (Best.Upstream == nullptr || Score < BestScore) {
       Best.Upstream = State;
@@ -155,14 +158,14 @@
 
 bool Placement::hasSpare(const UpstreamState &Upstream) const {
   const double Slots = std::max(1U, Upstream.Record.Slots);
-  const UpstreamLoad Now = Upstream.total(Time.now());
+  const UpstreamLoad Now = Upstream.total();
   return Now.Running < SpareSlots * Slots &&
          Now.RecentWork < Settings.SpareWork * WorkLimit;
 }
 
 bool Placement::isIdle(const UpstreamState &Upstream) const {
   const double Slots = std::max(1U, Upstream.Record.Slots);
-  const UpstreamLoad Now = Upstream.total(Time.now());
+  const UpstreamLoad Now = Upstream.total();
   return Now.Running < Settings.IdleWork * Slots &&
          Now.RecentWork < Settings.IdleWork * WorkLimit;
 }
--- a/src/dataplane/traffic.cpp
+++ b/src/dataplane/traffic.cpp
@@ -14,6 +14,8 @@
 constexpr Milliseconds TickPeriod{50};
 /// Descriptors kept for files, upstreams and messages between routers.
 constexpr std::size_t ReservedDescriptors = 1'400;
+/// Part of the connections at which the server is crowded.
+constexpr double CrowdedPart = 0.5;
 /// Part of the memory that callers' request bodies may take.
 constexpr std::size_t BodyShareOfMemory = 5;
 constexpr http1::UpstreamTimeouts Timeouts{Milliseconds(1'000),
@@ -23,7 +25,7 @@
 constexpr std::size_t DefaultBodyBytes = 4 * 1024 * 1024;
 constexpr Milliseconds DefaultReadTimeout{3'000};
 constexpr Milliseconds DefaultIdleTimeout{15'000};
-constexpr std::string_view RetryAfterStart = "0.5";
+constexpr std::string_view RetryAfterStart = "0.3";
 
 http1::ServerLimits limitsOf(const NodeSettings &Settings,
                              const Configuration *Config) {
@@ -39,6 +41,8 @@
   Limits.MaxConnections = Settings.Descriptors > 2 * ReservedDescriptors
                               ? Settings.Descriptors - ReservedDescriptors
                               : Settings.Descriptors / 2;
+  Limits.CrowdedConnections = static_cast<std::size_t>(
+      CrowdedPart * static_cast<double>(Limits.MaxConnections));
   Limits.MaxBufferedBytes = Settings.MemoryBytes / BodyShareOfMemory;
   return Limits;
 }
@@ -88,6 +92,9 @@
   Ticker.async_wait([this](std::error_code Error) {
     if (Error)
       return;
+    Overload.sample(std::chrono::duration_cast<Milliseconds>(
+                        std::chrono::steady_clock::now() - Ticker.expiry()),
+                    Time.now());
     if (Queue.waiting() > 0) {
       Queue.pump();
       Queue.expire();
@@ -123,7 +130,8 @@
 }
 
 TrafficReport Traffic::report() {
-  return {Upstreams.ownLoads(), Shares.ownUsage(), Server.busyConnections()};
+  return {Upstreams.ownLoads(), Shares.ownUsage(), Server.busyConnections(),
+          Overload.shunned(Time.now())};
 }
 
 void Traffic::drain() {
@@ -221,6 +229,11 @@
     refuseAtOnce(*Exchange, 503, "stopping", Facts.Attempt);
     return;
   }
+  if (Overload.refusing() && Of->Streaming) {
+    Exchange->closeAfterwards();
+    refuseAtOnce(*Exchange, 503, "router_overloaded", Facts.Attempt);
+    return;
+  }
   const auto Run = std::make_shared<RequestRun>(
       *this, Exchange, std::move(Facts), View.Config, *Of, Workspace);
   Run->start();
--- a/src/dataplane/upstream_table.cpp
+++ b/src/dataplane/upstream_table.cpp
@@ -11,11 +11,8 @@
 constexpr Milliseconds FirstAvoidance{250};
 constexpr unsigned MaxDoublings = 3;
 
-double decayed(double Work, std::chrono::nanoseconds Age) {
-  const double Spans = std::chrono::duration<double>(Age) /
-                       std::chrono::duration<double>(RecentSpan);
-  return Work * std::exp(-Spans);
-}
+/// Steps in which recent work decays; finer ones would cost processor time.
+constexpr Milliseconds DecayStep{20};
 
 } // namespace
 
@@ -34,15 +31,29 @@
   return *this;
 }
 
-UpstreamLoad UpstreamState::total(TimePoint Now) const {
+UpstreamLoad UpstreamState::total() const {
   UpstreamLoad Sum = Own;
-  Sum.RecentWork = decayed(Own.RecentWork, Now - OwnDecayedAt);
-  UpstreamLoad Theirs = Peers;
-  Theirs.RecentWork = decayed(Peers.RecentWork, Now - PeersDecayedAt);
-  Sum += Theirs;
+  Sum += Peers;
   return Sum;
 }
 
+void UpstreamTable::decay(TimePoint Now) {
+  const auto Age = Now - DecayedAt;
+  if (Age < DecayStep)
+    return;
+  const bool First = DecayedAt == TimePoint{};
+  DecayedAt = Now;
+  if (First)
+    return;
+  const double Spans = std::chrono::duration<double>(Age) /
+                       std::chrono::duration<double>(RecentSpan);
+  const double Factor = std::exp(-Spans);
+  for (auto &[Id, State] : All) {
+    State.Own.RecentWork *= Factor;
+    State.Peers.RecentWork *= Factor;
+  }
+}
+
 std::vector<UpstreamRecord>
 UpstreamTable::update(const std::vector<UpstreamRecord> &List) {
   std::vector<UpstreamRecord> Gone;
@@ -73,11 +84,9 @@
 void UpstreamTable::setPeers(const LoadTable &Sum) {
   if (&Sum != &PeerSum)
     PeerSum = Sum;
-  const TimePoint Now = Time.now();
   for (auto &[Id, State] : All) {
     const auto Found = PeerSum.find(State.Key);
     State.Peers = Found == PeerSum.end() ? UpstreamLoad() : Found->second;
-    State.PeersDecayedAt = Now;
   }
 }
 
@@ -94,14 +103,8 @@
 }
 
 void UpstreamTable::add(const UpstreamId &Id, const UpstreamLoad &Work) {
-  UpstreamState *State = find(Id);
-  if (State == nullptr)
-    return;
-  const TimePoint Now = Time.now();
-  State->Own.RecentWork =
-      decayed(State->Own.RecentWork, Now - State->OwnDecayedAt);
-  State->OwnDecayedAt = Now;
-  State->Own += Work;
+  if (UpstreamState *State = find(Id))
+    State->Own += Work;
 }
 
 void UpstreamTable::remove(const UpstreamId &Id, const UpstreamLoad &Work) {
@@ -128,11 +131,8 @@
 LoadTable UpstreamTable::ownLoads() {
   constexpr double Negligible = 1;
   LoadTable Table;
-  const TimePoint Now = Time.now();
+  decay(Time.now());
   for (auto &[Id, State] : All) {
-    State.Own.RecentWork =
-        decayed(State.Own.RecentWork, Now - State.OwnDecayedAt);
-    State.OwnDecayedAt = Now;
     if (State.Own.Running > 0 || State.Own.RecentWork > Negligible)
       Table.emplace(State.Key, State.Own);
   }
--- a/src/http1/server.cpp
+++ b/src/http1/server.cpp
@@ -57,6 +57,8 @@
           ++Counters.RefusedConnections;
         } else {
           ++Counters.Accepted;
+          if (crowded())
+            closeOldestIdle();
           std::make_shared<ServerConnection>(std::move(Socket), *this)->start();
         }
         if (Acceptor.is_open())
@@ -64,6 +66,13 @@
       });
 }
 
+void Http1Server::closeOldestIdle() {
+  if (Idle.empty())
+    return;
+  ServerConnection *Oldest = Idle.front();
+  Oldest->drain();
+}
+
 void Http1Server::drain() { Draining = true; }
 
 void Http1Server::closeIdle() {
--- a/src/http1/server_connection.cpp
+++ b/src/http1/server_connection.cpp
@@ -32,14 +32,28 @@
 
 ServerConnection::~ServerConnection() {
   releaseBody();
+  markBusy();
   Server.Open.erase(this);
 }
 
+void ServerConnection::markIdle() {
+  if (!IdlePlace && !Closed)
+    IdlePlace = Server.Idle.insert(Server.Idle.end(), this);
+}
+
+void ServerConnection::markBusy() {
+  if (!IdlePlace)
+    return;
+  Server.Idle.erase(*IdlePlace);
+  IdlePlace.reset();
+}
+
 void ServerConnection::start() {
   std::error_code Ignored;
   Socket.set_option(asio::ip::tcp::no_delay(true), Ignored);
   Socket.non_blocking(true, Ignored);
   armTimer(Server.Limits.IdleTimeout);
+  markIdle();
   read();
 }
 
@@ -47,6 +61,7 @@
   if (Closed)
     return;
   Closed = true;
+  markBusy();
   Timer.cancel();
   std::error_code Ignored;
   Socket.close(Ignored);
@@ -111,8 +126,10 @@
     const bool WasStarted = Parser.started();
     const std::size_t Taken = Parser.feed(Input);
     Input.erase(0, Taken);
-    if (!WasStarted && Parser.started())
+    if (!WasStarted && Parser.started()) {
+      markBusy();
       armTimer(Server.Limits.ReadTimeout);
+    }
     if (Parser.error() != ParseError::None) {
       ++Server.Counters.MalformedRequests;
       switch (Parser.error()) {
@@ -168,7 +185,7 @@
     return;
   Timer.cancel();
   Current = std::move(Incoming);
-  if (!Current->Head.KeepAlive || Server.Draining)
+  if (!Current->Head.KeepAlive || Server.Draining || Server.crowded())
     CloseAfter = true;
   Parser.reset();
   Server.Handler(Current);
@@ -268,6 +285,7 @@
     return;
   }
   armTimer(Server.Limits.IdleTimeout);
+  markIdle();
   if (!Input.empty())
     asio::post(Socket.get_executor(), [Self = shared_from_this()] {
       Self->consume();
