Exchange loads within zones and by one digest between them

Change: routers of a zone report to each other; the first of the zone sends a digest to the other zones, the second one once a second; the first of each zone reads the store. ReadingPolicy keeps the confirmed and the proven age apart and reads after half the bound on leaving upstreams.

--- a/include/mallowglade/dataplane.hpp
+++ b/include/mallowglade/dataplane.hpp
@@ -12,9 +12,11 @@
 #include <mallowglade/detail/dataplane/fleet_state.hpp>
 #include <mallowglade/detail/dataplane/node.hpp>
 #include <mallowglade/detail/dataplane/node_settings.hpp>
+#include <mallowglade/detail/dataplane/overload.hpp>
 #include <mallowglade/detail/dataplane/peer_directory.hpp>
 #include <mallowglade/detail/dataplane/peer_message.hpp>
 #include <mallowglade/detail/dataplane/placement.hpp>
+#include <mallowglade/detail/dataplane/reading_policy.hpp>
 #include <mallowglade/detail/dataplane/request_run.hpp>
 #include <mallowglade/detail/dataplane/retry_allowance.hpp>
 #include <mallowglade/detail/dataplane/traffic.hpp>
--- a/include/mallowglade/detail/dataplane/control.hpp
+++ b/include/mallowglade/detail/dataplane/control.hpp
@@ -3,6 +3,7 @@
 #include <mallowglade/detail/dataplane/event_log.hpp>
 #include <mallowglade/detail/dataplane/node_settings.hpp>
 #include <mallowglade/detail/dataplane/peer_directory.hpp>
+#include <mallowglade/detail/dataplane/reading_policy.hpp>
 #include <mallowglade/detail/dataplane/traffic.hpp>
 #include <mallowglade/detail/http1/server.hpp>
 #include <mallowglade/detail/telemetry/metrics.hpp>
@@ -52,9 +53,10 @@
   void pollStore();
   void readStore();
   void readSoon();
-  bool readsStore() const;
   void onProof(const StateProof &Proof);
   void sendReport();
+  void sendTo(const std::vector<std::string> &Addresses,
+              const std::string &Bytes);
   void onState(TimePoint Asked, Result<FleetState> State);
   void publish();
   void announce();
@@ -78,6 +80,7 @@
   EventLog &Log;
   RouterRecord Self;
   PeerDirectory Peers;
+  ReadingPolicy Readings;
   http1::Http1Server ReadinessServer;
   std::unique_ptr<http1::Http1Server> AddressesServer;
   http1::Http1Server MetricsServer;
@@ -97,9 +100,8 @@
   std::uint64_t Sequence = 0;
   /// When the reports with the newest sequence numbers were sent.
   std::map<std::uint64_t, TimePoint> SentAt;
-  /// Fingerprint of `View`, and start of the newest reading of its own.
+  /// Fingerprint of `View`.
   std::uint64_t Fingerprint = 0;
-  TimePoint ReadAt{};
   TimePoint LastRead{};
   bool Reading = false;
   bool StoreReachable = false;
--- a/include/mallowglade/detail/dataplane/fleet_state.hpp
+++ b/include/mallowglade/detail/dataplane/fleet_state.hpp
@@ -25,6 +25,7 @@
 /// @brief A router as it registered itself.
 struct RouterRecord {
   RouterId Id;
+  ZoneId Zone;
   /// Address that callers connect to, `ip:port`.
   std::string CallerAddress;
   /// Address for messages between routers, `ip:port`.
--- a/include/mallowglade/detail/dataplane/node_settings.hpp
+++ b/include/mallowglade/detail/dataplane/node_settings.hpp
@@ -26,6 +26,8 @@
   std::string StoreAddress;
   /// Largest age of a reading of the store at which credentials are accepted.
   Milliseconds CredentialFreshness{};
+  /// Time within which a change in the store has to take effect.
+  Milliseconds StateFreshness{};
   /// Time from a planned stop to the end of the process.
   std::chrono::seconds StopGrace{};
   /// Longest time that callers keep an answer with addresses.
--- a/include/mallowglade/detail/dataplane/peer_directory.hpp
+++ b/include/mallowglade/detail/dataplane/peer_directory.hpp
@@ -11,30 +11,39 @@
 namespace mallowglade::dataplane {
 
 /// @brief Knows the other routers from the store and from their reports.
+///
+/// The routers of a zone report to each other. The first of them, in an order
+/// that all agree on, sends a digest of the zone to all other zones, so that
+/// few bytes cross zones; the second one does so less often, in case the first
+/// is cut off from them.
 class PeerDirectory {
 public:
-  /// @param Self id of this router
-  PeerDirectory(RouterId Self, const Clock &Time)
+  /// @param Self this router
+  PeerDirectory(RouterRecord Self, const Clock &Time)
       : Self(std::move(Self)), Time(Time) {}
 
   /// @brief Takes the registrations of the store.
   void setRegistered(const std::vector<RouterRecord> &List);
-  /// @brief Takes a report.
+  /// @brief Takes a router's own report or a digest.
   /// @return true if the sender's readiness changed
   bool accept(PeerReport Report);
-  /// @return addresses that reports are sent to
-  std::vector<std::string> peerAddresses() const;
+  /// @return addresses of the routers in this zone
+  std::vector<std::string> zoneAddresses() const;
+  /// @return addresses of the routers in other zones
+  std::vector<std::string> otherAddresses() const;
+  /// @brief Turns a router's own report into a digest of its zone.
+  PeerReport digest(PeerReport Own) const;
   /// @return addresses of the routers that callers may be offered
   std::vector<std::string> callerAddresses() const;
   /// @return loads and usage of the routers heard lately, added up
   PeerSums sums() const;
-  /// @return newest sequence number of each router heard lately
+  /// @return newest sequence number of each router of the zone
   std::map<RouterId, std::uint64_t> heard() const;
-  /// @return rank of this router among the live ones in an order that all
-  ///   routers agree on; 0 is the first
-  std::size_t rank() const;
-  /// @return time between reports: it grows with the fleet, so that the
-  ///   number of messages that a router handles does not
+  /// @return rank of this router among the live ones of its zone; 0 is the
+  ///   first
+  std::size_t zoneRank() const;
+  /// @return time between reports: it grows with the number of receivers, so
+  ///   that the number of messages that a router handles does not
   Milliseconds reportPeriod() const;
   /// @return number of live routers, this one included
   std::size_t liveRouters() const;
@@ -44,13 +53,24 @@
     RouterRecord Record;
     PeerReport Last;
     TimePoint HeardAt{};
+    /// Readiness as the newest digest of another zone told it.
+    bool ReadyByDigest = false;
     bool Registered = false;
   };
+  struct Digest {
+    PeerReport Last;
+    TimePoint HeardAt{};
+  };
+  bool sameZone(const Peer &Of) const { return Of.Record.Zone == Self.Zone; }
   bool live(const Peer &Of) const;
+  bool ready(const Peer &Of) const;
+  bool acceptOwn(PeerReport Report);
+  bool acceptDigest(PeerReport Report);
 
-  RouterId Self;
+  RouterRecord Self;
   const Clock &Time;
   std::map<RouterId, Peer> Peers;
+  std::map<ZoneId, Digest> Digests;
 };
 
 } // namespace mallowglade::dataplane
--- a/include/mallowglade/detail/dataplane/peer_message.hpp
+++ b/include/mallowglade/detail/dataplane/peer_message.hpp
@@ -21,14 +21,25 @@
   std::map<RouterId, std::uint64_t> Heard;
 };
 
+/// @brief A router of the sender's zone, in a digest.
+struct ZoneMember {
+  RouterId Id;
+  std::string CallerAddress;
+  bool Ready = false;
+};
+
 /// @brief What a router tells the others several times a second.
 struct PeerReport {
   RouterId Sender;
   /// Changes at each start of the process.
   std::uint64_t Incarnation = 0;
   std::uint64_t Sequence = 0;
+  ZoneId Zone;
   /// Address that callers connect to.
   std::string CallerAddress;
+  /// The routers of the zone if this is a digest: loads and usage are then
+  /// the sums over them. Empty in a router's own report.
+  std::vector<ZoneMember> Members;
   /// True while the router may be offered to callers.
   bool Ready = false;
   ConfigurationVersion Config;
--- a/src/dataplane/control.cpp
+++ b/src/dataplane/control.cpp
@@ -8,12 +8,9 @@
 
 namespace {
 
-/// Time between readings of the store by the routers that read it; a change
-/// has to be in force within two seconds on all routers.
-constexpr Milliseconds PollPeriod{500};
-/// Routers that read the store without need; the others rely on their reports.
-constexpr std::size_t StoreReaders = 3;
-/// Age of the newest proof at which any router reads the store itself.
+/// Time between the checks whether the store has to be read.
+constexpr Milliseconds PollPeriod{200};
+/// Oldest own reading that is reported to others.
 constexpr Milliseconds ProofLimit{2'000};
 /// Shortest time between two readings by one router.
 constexpr Milliseconds ReadSpacing{250};
@@ -21,6 +18,8 @@
 constexpr Milliseconds AnnouncePeriod{3'000};
 /// Time between looks for reports of other routers.
 constexpr Milliseconds ReceivePeriod{80};
+/// The second router of a zone sends each n-th digest.
+constexpr std::uint64_t SecondDigestEvery = 5;
 /// Sent reports whose time is remembered.
 constexpr std::size_t RememberedReports = 64;
 /// Time that callers keep an answer with addresses.
@@ -58,9 +57,9 @@
                  const Clock &Time, RandomSource &Random, EventLog &Log)
     : Context(Context), Settings(Settings), Wire(Wire), Store(Store),
       Link(Link), Time(Time), Random(Random),
-      Log(Log), Self{RouterId(Settings.PeerListen), Settings.CallerListen,
-                     Settings.PeerListen},
-      Peers(Self.Id, Time),
+      Log(Log), Self{RouterId(Settings.PeerListen), Settings.Zone,
+                     Settings.CallerListen, Settings.PeerListen},
+      Peers(Self, Time), Readings(Settings.StateFreshness),
       ReadinessServer(Context, tcpEndpoint(Settings.ReadinessListen),
                       ControlLimits,
                       [this](const auto &Exchange) { onReadiness(Exchange); }),
@@ -109,13 +108,8 @@
   });
 }
 
-bool Control::readsStore() const {
-  return !View.Config || Peers.rank() < StoreReaders ||
-         Time.now() - View.ProvenAt > ProofLimit;
-}
-
 void Control::pollStore() {
-  if (readsStore())
+  if (!View.Config || Readings.shouldRead(Time.now(), Peers.zoneRank()))
     readStore();
   every(PollTimer, PollPeriod, [this] { pollStore(); });
 }
@@ -151,6 +145,7 @@
     readSoon();
     return;
   }
+  Readings.confirmed(Time.now(), Proof.Age);
   const auto Echo = Proof.Heard.find(Self.Id);
   if (Echo == Proof.Heard.end())
     return;
@@ -161,6 +156,7 @@
   const TimePoint ProvenAt = Sent->second - Proof.Age;
   if (ProvenAt <= View.ProvenAt)
     return;
+  Readings.proven(ProvenAt);
   View.ProvenAt = ProvenAt;
   Link.onTraffic([ProvenAt](Traffic &Target) { Target.prove(ProvenAt); });
 }
@@ -180,11 +176,11 @@
          {"skipped_entries", std::int64_t(valueOf(State).SkippedEntries)}});
   StoreReachable = true;
   FleetState &Read = valueOf(State);
-  if (Asked < ReadAt)
+  if (Asked < Readings.ownReading())
     return;
-  ReadAt = Asked;
+  Readings.readAt(Asked);
   Peers.setRegistered(Read.Routers);
-  View.ProvenAt = std::max(View.ProvenAt, Asked);
+  View.ProvenAt = Readings.provenAt();
   View.Upstreams = std::move(Read.Upstreams);
   const bool Newer = Read.Config && (!View.Config || Read.Config->Version >
                                                          View.Config->Version);
@@ -222,6 +218,7 @@
   Report.Sender = Self.Id;
   Report.Incarnation = Incarnation;
   Report.Sequence = ++Sequence;
+  Report.Zone = Self.Zone;
   Report.CallerAddress = Self.CallerAddress;
   Report.Ready = offered();
   if (View.Config)
@@ -232,12 +229,23 @@
   SentAt.emplace(Sequence, Now);
   if (SentAt.size() > RememberedReports)
     SentAt.erase(SentAt.begin());
+  const TimePoint ReadAt = Readings.ownReading();
   if (ReadAt != TimePoint{} && Now - ReadAt < ProofLimit)
     Report.Proof =
         StateProof{Fingerprint, std::chrono::ceil<Milliseconds>(Now - ReadAt),
                    Peers.heard()};
-  const std::string Bytes = encodeReport(Report);
-  for (const std::string &Address : Peers.peerAddresses()) {
+  sendTo(Peers.zoneAddresses(), encodeReport(Report));
+  const std::size_t Rank = Peers.zoneRank();
+  const bool SendsDigest =
+      Rank == 0 || (Rank == 1 && Sequence % SecondDigestEvery == 0);
+  if (SendsDigest)
+    sendTo(Peers.otherAddresses(),
+           encodeReport(Peers.digest(std::move(Report))));
+}
+
+void Control::sendTo(const std::vector<std::string> &Addresses,
+                     const std::string &Bytes) {
+  for (const std::string &Address : Addresses) {
     std::error_code Error;
     Socket.send_to(asio::buffer(Bytes), udpEndpoint(Address), 0, Error);
     if (Error && Error != asio::error::would_block)
--- a/src/dataplane/node_settings.cpp
+++ b/src/dataplane/node_settings.cpp
@@ -89,6 +89,8 @@
   Settings.StoreAddress = Root.address("store");
   Settings.CredentialFreshness =
       Milliseconds(Root.integer("credential_freshness_ms", 1, MaxMilliseconds));
+  Settings.StateFreshness =
+      Milliseconds(Root.integer("state_freshness_ms", 1, MaxMilliseconds));
   Settings.StopGrace =
       std::chrono::seconds(Root.integer("stop_grace_s", 1, MaxSeconds));
   Settings.MaxAddressTtl =
--- a/src/dataplane/peer_directory.cpp
+++ b/src/dataplane/peer_directory.cpp
@@ -8,25 +8,49 @@
 
 /// Shortest time between reports; the load that peers see is as old.
 constexpr Milliseconds ShortestPeriod{200};
-/// Reports a second that a router sends and receives at most.
-constexpr std::size_t MaxReportsPerSecond = 80;
+/// Reports a second that a router sends at most.
+constexpr std::size_t MaxReportsPerSecond = 320;
 /// Reports that may be missed before a router counts as gone.
 constexpr int ReportsUntilGone = 5;
+/// Age at which a zone's digest is no longer used; the second router of a zone
+/// sends one a second.
+constexpr Milliseconds DigestLifetime{2'500};
+/// Age of a digest after which one from another sender replaces it.
+constexpr Milliseconds DigestTakeover{500};
 /// Time that a router which is no longer registered is remembered.
 constexpr Milliseconds RememberFor{10'000};
 
+void addUsage(UsageTable &To, const UsageTable &From) {
+  for (const auto &[Key, Used] : From) {
+    To[Key].Asked += Used.Asked;
+    To[Key].Admitted += Used.Admitted;
+  }
+}
+
+void addLoads(LoadTable &To, const LoadTable &From) {
+  for (const auto &[Key, Load] : From)
+    To[Key] += Load;
+}
+
 } // namespace
 
 bool PeerDirectory::live(const Peer &Of) const {
-  return Of.HeardAt != TimePoint{} &&
-         Time.now() - Of.HeardAt < ReportsUntilGone * reportPeriod();
+  if (Of.HeardAt == TimePoint{})
+    return false;
+  const auto Age = Time.now() - Of.HeardAt;
+  return sameZone(Of) ? Age < ReportsUntilGone * reportPeriod()
+                      : Age < DigestLifetime;
+}
+
+bool PeerDirectory::ready(const Peer &Of) const {
+  return sameZone(Of) ? Of.Last.Ready : Of.ReadyByDigest;
 }
 
 void PeerDirectory::setRegistered(const std::vector<RouterRecord> &List) {
   for (auto &[Id, Each] : Peers)
     Each.Registered = false;
   for (const RouterRecord &Record : List) {
-    if (Record.Id == Self)
+    if (Record.Id == Self.Id)
       continue;
     Peer &Each = Peers[Record.Id];
     Each.Record = Record;
@@ -39,14 +63,20 @@
 }
 
 bool PeerDirectory::accept(PeerReport Report) {
-  if (Report.Sender == Self)
+  if (Report.Sender == Self.Id)
     return false;
+  return Report.Members.empty() ? acceptOwn(std::move(Report))
+                                : acceptDigest(std::move(Report));
+}
+
+bool PeerDirectory::acceptOwn(PeerReport Report) {
   Peer &Each = Peers[Report.Sender];
   const bool Restarted = Each.Last.Incarnation != Report.Incarnation;
   if (!Restarted && Report.Sequence <= Each.Last.Sequence)
     return false;
   const bool Changed = !live(Each) || Each.Last.Ready != Report.Ready;
   Each.Record.Id = Report.Sender;
+  Each.Record.Zone = Report.Zone;
   Each.Record.PeerAddress = Report.Sender.Value;
   Each.Record.CallerAddress = Report.CallerAddress;
   Each.Last = std::move(Report);
@@ -54,22 +84,73 @@
   return Changed;
 }
 
-std::vector<std::string> PeerDirectory::peerAddresses() const {
+bool PeerDirectory::acceptDigest(PeerReport Report) {
+  if (Report.Zone == Self.Zone)
+    return false;
+  Digest &Known = Digests[Report.Zone];
+  const TimePoint Now = Time.now();
+  const bool SameSender = Known.Last.Sender == Report.Sender &&
+                          Known.Last.Incarnation == Report.Incarnation;
+  if (SameSender && Report.Sequence <= Known.Last.Sequence)
+    return false;
+  if (!SameSender && Known.HeardAt != TimePoint{} &&
+      Now - Known.HeardAt < DigestTakeover)
+    return false;
+  bool Changed = false;
+  for (const ZoneMember &Member : Report.Members) {
+    Peer &Each = Peers[Member.Id];
+    Changed |= !live(Each) || Each.ReadyByDigest != Member.Ready;
+    Each.Record.Id = Member.Id;
+    Each.Record.Zone = Report.Zone;
+    Each.Record.PeerAddress = Member.Id.Value;
+    Each.Record.CallerAddress = Member.CallerAddress;
+    Each.ReadyByDigest = Member.Ready;
+    Each.HeardAt = Now;
+  }
+  Known.Last = std::move(Report);
+  Known.HeardAt = Now;
+  return Changed;
+}
+
+std::vector<std::string> PeerDirectory::zoneAddresses() const {
+  std::vector<std::string> Addresses;
+  for (const auto &[Id, Each] : Peers)
+    if (sameZone(Each) && !Each.Record.PeerAddress.empty())
+      Addresses.push_back(Each.Record.PeerAddress);
+  return Addresses;
+}
+
+std::vector<std::string> PeerDirectory::otherAddresses() const {
   std::vector<std::string> Addresses;
   for (const auto &[Id, Each] : Peers)
-    if (!Each.Record.PeerAddress.empty())
+    if (!sameZone(Each) && !Each.Record.PeerAddress.empty())
       Addresses.push_back(Each.Record.PeerAddress);
   return Addresses;
 }
 
+PeerReport PeerDirectory::digest(PeerReport Own) const {
+  Own.Members.push_back({Self.Id, Self.CallerAddress, Own.Ready});
+  for (const auto &[Id, Each] : Peers) {
+    if (!sameZone(Each) || !live(Each))
+      continue;
+    Own.Members.push_back({Id, Each.Record.CallerAddress, Each.Last.Ready});
+    addLoads(Own.Loads, Each.Last.Loads);
+    addUsage(Own.Usage, Each.Last.Usage);
+  }
+  // Receivers in other zones are not heard, so they cannot date a proof.
+  if (Own.Proof)
+    Own.Proof->Heard.clear();
+  return Own;
+}
+
 std::vector<std::string> PeerDirectory::callerAddresses() const {
   std::vector<std::string> Heard;
   std::vector<std::string> Registered;
   for (const auto &[Id, Each] : Peers) {
-    if (live(Each) && Each.Last.Ready)
+    const bool Known = Each.HeardAt != TimePoint{};
+    if (live(Each) && ready(Each))
       Heard.push_back(Each.Record.CallerAddress);
-    const bool SaidNotReady = Each.Last.Incarnation != 0 && !Each.Last.Ready;
-    if (Each.Registered && !SaidNotReady)
+    if (Each.Registered && (!Known || ready(Each)))
       Registered.push_back(Each.Record.CallerAddress);
   }
   // A router that hears few of the others is slow or cut off itself; sending
@@ -80,16 +161,17 @@
 std::map<RouterId, std::uint64_t> PeerDirectory::heard() const {
   std::map<RouterId, std::uint64_t> Numbers;
   for (const auto &[Id, Each] : Peers)
-    if (live(Each))
+    if (sameZone(Each) && live(Each))
       Numbers.emplace(Id, Each.Last.Sequence);
   return Numbers;
 }
 
-std::size_t PeerDirectory::rank() const {
-  const std::uint64_t Mine = stableHash(Self.Value);
+std::size_t PeerDirectory::zoneRank() const {
+  const std::uint64_t Mine = stableHash(Self.Id.Value);
   return static_cast<std::size_t>(
       std::count_if(Peers.begin(), Peers.end(), [&](const auto &Entry) {
-        return live(Entry.second) && Entry.second.Last.Ready &&
+        const Peer &Each = Entry.second;
+        return sameZone(Each) && live(Each) && Each.Last.Ready &&
                stableHash(Entry.first.Value) < Mine;
       }));
 }
@@ -104,14 +186,16 @@
 PeerSums PeerDirectory::sums() const {
   PeerSums Sum;
   for (const auto &[Id, Each] : Peers) {
-    if (!live(Each))
+    if (!sameZone(Each) || !live(Each))
+      continue;
+    addLoads(Sum.Loads, Each.Last.Loads);
+    addUsage(Sum.Usage, Each.Last.Usage);
+  }
+  for (const auto &[Zone, Each] : Digests) {
+    if (Time.now() - Each.HeardAt >= DigestLifetime)
       continue;
-    for (const auto &[Key, Load] : Each.Last.Loads)
-      Sum.Loads[Key] += Load;
-    for (const auto &[Key, Used] : Each.Last.Usage) {
-      Sum.Usage[Key].Asked += Used.Asked;
-      Sum.Usage[Key].Admitted += Used.Admitted;
-    }
+    addLoads(Sum.Loads, Each.Last.Loads);
+    addUsage(Sum.Usage, Each.Last.Usage);
   }
   return Sum;
 }
--- a/src/dataplane/peer_message.cpp
+++ b/src/dataplane/peer_message.cpp
@@ -13,7 +13,7 @@
 namespace {
 
 /// Raised when the layout changes, so that versions of the program can mix.
-constexpr unsigned FormatVersion = 2;
+constexpr unsigned FormatVersion = 3;
 
 using LoadRow = std::tuple<std::uint64_t, std::uint32_t, std::uint32_t,
                            std::uint32_t, std::uint32_t>;
@@ -21,10 +21,11 @@
 using HeardRow = std::tuple<std::string, std::uint64_t>;
 using ProofRow =
     std::tuple<std::uint64_t, std::uint32_t, std::vector<HeardRow>>;
+using MemberRow = std::tuple<std::string, std::string, bool>;
 using Layout =
     std::tuple<unsigned, std::string, std::uint64_t, std::uint64_t, std::string,
                bool, std::uint64_t, std::vector<LoadRow>, std::vector<UsageRow>,
-               std::vector<ProofRow>>;
+               std::vector<ProofRow>, std::string, std::vector<MemberRow>>;
 
 std::uint32_t whole(double Value) {
   constexpr double Most = 4e9;
@@ -37,7 +38,7 @@
 std::string encodeReport(const PeerReport &Report) {
   Layout Out;
   auto &[Format, Sender, Incarnation, Sequence, Address, Ready, Version, Loads,
-         Usage, Proofs] = Out;
+         Usage, Proofs, Zone, Members] = Out;
   Format = FormatVersion;
   Sender = Report.Sender.Value;
   Incarnation = Report.Incarnation;
@@ -50,6 +51,9 @@
                        whole(Load.KvTokens), whole(Load.RecentWork));
   for (const auto &[Key, Used] : Report.Usage)
     Usage.emplace_back(Key.Value, whole(Used.Asked), whole(Used.Admitted));
+  Zone = Report.Zone.Value;
+  for (const ZoneMember &Each : Report.Members)
+    Members.emplace_back(Each.Id.Value, Each.CallerAddress, Each.Ready);
   if (Report.Proof) {
     std::vector<HeardRow> Heard;
     for (const auto &[Router, Number] : Report.Proof->Heard)
@@ -71,7 +75,7 @@
     Layout In;
     Handle.get().convert(In);
     const auto &[Format, Sender, Incarnation, Sequence, Address, Ready, Version,
-                 Loads, Usage, Proofs] = In;
+                 Loads, Usage, Proofs, Zone, Members] = In;
     if (Format != FormatVersion || Sender.empty())
       return Error{
           ErrorId::InvalidMessage, "unknown format of a peer report", {}};
@@ -87,6 +91,9 @@
                                         double(Kv), double(Recent)};
     for (const auto &[Key, Asked, Admitted] : Usage)
       Report.Usage[WorkspaceKey(Key)] = {double(Asked), double(Admitted)};
+    Report.Zone = ZoneId(Zone);
+    for (const auto &[Id, Callers, MemberReady] : Members)
+      Report.Members.push_back({RouterId(Id), Callers, MemberReady});
     for (const auto &[Fingerprint, Age, Heard] : Proofs) {
       StateProof Proof;
       Proof.Fingerprint = Fingerprint;
--- /dev/null
+++ b/src/dataplane/reading_policy.cpp
@@ -0,0 +1,37 @@
+#include <mallowglade/detail/dataplane/reading_policy.hpp>
+
+#include <algorithm>
+
+namespace mallowglade::dataplane {
+
+namespace {
+
+/// Part of the freshness that may pass without confirmation; the rest is for
+/// a slow answer of the store.
+constexpr int UnconfirmedPart = 2;
+/// Age of the proof at which the store is read although reports confirm the
+/// state; credentials expire later.
+constexpr Milliseconds ProofLimit{2'500};
+
+} // namespace
+
+void ReadingPolicy::readAt(TimePoint Start) {
+  OwnReading = std::max(OwnReading, Start);
+  ConfirmedAt = std::max(ConfirmedAt, Start);
+  ProvenAt = std::max(ProvenAt, Start);
+}
+
+void ReadingPolicy::confirmed(TimePoint Received, Milliseconds Age) {
+  ConfirmedAt = std::max(ConfirmedAt, Received - Age);
+}
+
+void ReadingPolicy::proven(TimePoint At) { ProvenAt = std::max(ProvenAt, At); }
+
+bool ReadingPolicy::shouldRead(TimePoint Now, std::size_t Rank) const {
+  if (Rank < Readers && Now - OwnReading >= ReaderPeriod)
+    return true;
+  return Now - ConfirmedAt >= Freshness / UnconfirmedPart ||
+         Now - ProvenAt >= ProofLimit;
+}
+
+} // namespace mallowglade::dataplane
--- a/tests/unit-dataplane-decisions.cpp
+++ b/tests/unit-dataplane-decisions.cpp
@@ -138,6 +138,9 @@
   CPPUNIT_TEST(capacityIsNotLeftIdleForShares);
   CPPUNIT_TEST(refusedCallersMayStillBeOnTime);
   CPPUNIT_TEST(waitingRequestIsGivenUpInTime);
+  CPPUNIT_TEST(unconfirmedStateIsReadInTime);
+  CPPUNIT_TEST(delayedReportsProveNothing);
+  CPPUNIT_TEST(overloadedRouterIsNotOffered);
   CPPUNIT_TEST(repeatsOfTheWholeFleetStayWithinTheBudget);
   CPPUNIT_TEST_SUITE_END();
 
@@ -314,6 +317,56 @@
     CPPUNIT_ASSERT_EQUAL(std::size_t(0), W.Queue.waiting());
   }
 
+  // Guards against a router that learns too late that an upstream leaves,
+  // because the routers that read the store cannot reach it.
+  void unconfirmedStateIsReadInTime() {
+    constexpr Milliseconds Bound{2'000};
+    constexpr Milliseconds Step{200};
+    constexpr Milliseconds SlowAnswer{300};
+    constexpr std::size_t NotAReader = ReadingPolicy::Readers;
+    ManualClock Time;
+    ReadingPolicy Policy(Bound);
+    Policy.readAt(Time.now());
+    const TimePoint Start = Time.now();
+    while (!Policy.shouldRead(Time.now(), NotAReader))
+      Time.advance(Step);
+    CPPUNIT_ASSERT(Time.now() + Step + SlowAnswer - Start < Bound);
+    // Reports that confirm the state make own readings needless.
+    Policy.confirmed(Time.now(), Milliseconds(100));
+    CPPUNIT_ASSERT(!Policy.shouldRead(Time.now(), NotAReader));
+    CPPUNIT_ASSERT(Policy.shouldRead(Time.now(), 0));
+  }
+
+  // Guards against a withdrawn key accepted on the word of old datagrams.
+  void delayedReportsProveNothing() {
+    ManualClock Time;
+    ReadingPolicy Policy(Milliseconds(2'000));
+    Policy.readAt(Time.now());
+    const TimePoint Read = Time.now();
+    Time.advance(std::chrono::seconds(4));
+    Policy.confirmed(Time.now(), Milliseconds(100));
+    CPPUNIT_ASSERT(Policy.provenAt() == Read);
+    CPPUNIT_ASSERT(Policy.shouldRead(Time.now(), ReadingPolicy::Readers));
+  }
+
+  // Guards against callers sent to a router that cannot keep up.
+  void overloadedRouterIsNotOffered() {
+    ManualClock Time;
+    OverloadDetector Overload;
+    Overload.sample(Milliseconds(5), Time.now());
+    CPPUNIT_ASSERT(!Overload.refusing());
+    for (int Round = 0; Round < 4; ++Round)
+      Overload.sample(Milliseconds(150), Time.now());
+    CPPUNIT_ASSERT(Overload.refusing());
+    CPPUNIT_ASSERT(Overload.shunned(Time.now()));
+    for (int Round = 0; Round < 8; ++Round)
+      Overload.sample(Milliseconds(0), Time.now());
+    CPPUNIT_ASSERT(!Overload.refusing());
+    CPPUNIT_ASSERT(Overload.shunned(Time.now()));
+    Time.advance(std::chrono::seconds(4));
+    CPPUNIT_ASSERT(!Overload.shunned(Time.now()));
+  }
+
   // Guards against a storm of repeats after upstreams fail.
   void repeatsOfTheWholeFleetStayWithinTheBudget() {
     constexpr std::size_t Routers = 8;
