Accept waiting connections together and ignore outdated reports

Cause: a busy event loop accepted one connection a turn, so that the queue of new connections overflowed while the loop showed no delay and overload was not detected (3,023 callers without a connection, 2,457 timed out). Reports from before an own reading made routers read the store again.

Ruled out: the processor time of refusals (0.066 cores before and after).

Change: the acceptor takes up to 64 connections a turn; a report is a reason to read only if its reading is newer than the own one; readers read four times within the freshness.

--- a/include/mallowglade/detail/dataplane/reading_policy.hpp
+++ b/include/mallowglade/detail/dataplane/reading_policy.hpp
@@ -24,6 +24,11 @@
   /// @param Received when the report arrived
   /// @param Age age of the reporter's reading when it sent the report
   void confirmed(TimePoint Received, Milliseconds Age);
+  /// @return true if a reader with such a report has read the store later
+  ///   than this router
+  bool isNewer(TimePoint Received, Milliseconds Age) const {
+    return Received - Age > OwnReading;
+  }
   /// @brief Notes the time for which a report proves the own state.
   void proven(TimePoint At);
   /// @return true if the store should be read now
@@ -36,8 +41,8 @@
 
   /// Routers of a zone that read the store regularly.
   static constexpr std::size_t Readers = 1;
-  /// Time between their readings.
-  static constexpr Milliseconds ReaderPeriod{450};
+  /// Part of the freshness between their readings.
+  static constexpr int ReaderPart = 4;
 
 private:
   Milliseconds Freshness;
--- a/include/mallowglade/detail/http1/server.hpp
+++ b/include/mallowglade/detail/http1/server.hpp
@@ -130,6 +130,7 @@
 private:
   friend class ServerConnection;
   void accept();
+  std::error_code acceptWaiting();
   bool crowded() const { return Open.size() > Limits.CrowdedConnections; }
   void closeOldestIdle();
 
--- a/src/dataplane/control.cpp
+++ b/src/dataplane/control.cpp
@@ -142,7 +142,8 @@
 
 void Control::onProof(const StateProof &Proof) {
   if (Proof.Fingerprint != Fingerprint) {
-    readSoon();
+    if (Readings.isNewer(Time.now(), Proof.Age))
+      readSoon();
     return;
   }
   Readings.confirmed(Time.now(), Proof.Age);
--- a/src/dataplane/reading_policy.cpp
+++ b/src/dataplane/reading_policy.cpp
@@ -28,7 +28,7 @@
 void ReadingPolicy::proven(TimePoint At) { ProvenAt = std::max(ProvenAt, At); }
 
 bool ReadingPolicy::shouldRead(TimePoint Now, std::size_t Rank) const {
-  if (Rank < Readers && Now - OwnReading >= ReaderPeriod)
+  if (Rank < Readers && Now - OwnReading >= Freshness / ReaderPart)
     return true;
   return Now - ConfirmedAt >= Freshness / UnconfirmedPart ||
          Now - ProvenAt >= ProofLimit;
--- a/src/http1/server.cpp
+++ b/src/http1/server.cpp
@@ -9,6 +9,7 @@
 namespace {
 
 constexpr int ListenBacklog = 1'024;
+constexpr int MaxAcceptsATurn = 64;
 /// Pause after `accept` failed for want of descriptors or memory.
 constexpr std::chrono::milliseconds AcceptRetryDelay{50};
 
@@ -33,6 +34,8 @@
     Acceptor.set_option(asio::socket_base::reuse_address(true), Error);
   if (!Error)
     Acceptor.bind(Address, Error);
+  if (!Error)
+    Acceptor.non_blocking(true, Error);
   if (!Error)
     Acceptor.listen(ListenBacklog, Error);
   if (!Error)
@@ -41,31 +44,46 @@
 }
 
 void Http1Server::accept() {
-  Acceptor.async_accept(
-      [this](std::error_code Error, asio::ip::tcp::socket Socket) {
-        if (Error == asio::error::operation_aborted)
+  Acceptor.async_wait(
+      asio::ip::tcp::acceptor::wait_read, [this](std::error_code Error) {
+        if (Error == asio::error::operation_aborted || !Acceptor.is_open())
           return;
-        if (Error) {
-          RetryTimer.expires_after(AcceptRetryDelay);
-          RetryTimer.async_wait([this](std::error_code Stopped) {
-            if (!Stopped && Acceptor.is_open())
-              accept();
-          });
+        const std::error_code Failed = acceptWaiting();
+        if (!Failed || Failed == asio::error::would_block) {
+          accept();
           return;
         }
-        if (Open.size() >= Limits.MaxConnections) {
-          ++Counters.RefusedConnections;
-        } else {
-          ++Counters.Accepted;
-          if (crowded())
-            closeOldestIdle();
-          std::make_shared<ServerConnection>(std::move(Socket), *this)->start();
-        }
-        if (Acceptor.is_open())
-          accept();
+        RetryTimer.expires_after(AcceptRetryDelay);
+        RetryTimer.async_wait([this](std::error_code Stopped) {
+          if (!Stopped && Acceptor.is_open())
+            accept();
+        });
       });
 }
 
+std::error_code Http1Server::acceptWaiting() {
+  // One connection a turn of a busy loop would let the queue of new
+  // connections overflow.
+  for (int Count = 0; Count < MaxAcceptsATurn; ++Count) {
+    std::error_code Error;
+    asio::ip::tcp::socket Socket(Context);
+    Acceptor.accept(Socket, Error);
+    if (Error == asio::error::connection_aborted)
+      continue;
+    if (Error)
+      return Error;
+    if (Open.size() >= Limits.MaxConnections) {
+      ++Counters.RefusedConnections;
+      continue;
+    }
+    ++Counters.Accepted;
+    if (crowded())
+      closeOldestIdle();
+    std::make_shared<ServerConnection>(std::move(Socket), *this)->start();
+  }
+  return {};
+}
+
 void Http1Server::closeOldestIdle() {
   if (Idle.empty())
     return;
--- a/tests/unit-dataplane-decisions.cpp
+++ b/tests/unit-dataplane-decisions.cpp
@@ -335,6 +335,11 @@
     Policy.confirmed(Time.now(), Milliseconds(100));
     CPPUNIT_ASSERT(!Policy.shouldRead(Time.now(), NotAReader));
     CPPUNIT_ASSERT(Policy.shouldRead(Time.now(), 0));
+    // A report from before the own reading is no reason to read again.
+    Policy.readAt(Time.now());
+    Time.advance(Step);
+    CPPUNIT_ASSERT(!Policy.isNewer(Time.now(), 2 * Step));
+    CPPUNIT_ASSERT(Policy.isNewer(Time.now(), Step / 2));
   }
 
   // Guards against a withdrawn key accepted on the word of old datagrams.
