Keep the last capacity for the least served workspaces

Arrivals at routers without a queue took each gap before the router with the backlog tried again.

Ruled out: overload of that router (0.014 cores) and the queue's order, which is by fill but only within one router.

Change: above the spare part of the work limit only workspaces that are not ahead of the least served backlogged one are admitted; a workspace counts as backlogged from a quarter of a share on.

--- a/src/dataplane/admission.cpp
+++ b/src/dataplane/admission.cpp
@@ -85,6 +85,12 @@
   const PlacementChoice Where = Places.choose(Request.Query);
   if (Where.Upstream == nullptr)
     return false;
+  // The last part of the capacity is kept for the least served workspaces:
+  // their requests may wait in another router while this one has none.
+  const bool LeastServedFirst = Request.HasWorkspace && !Request.Continues &&
+                                !Places.hasSpare(*Where.Upstream);
+  if (LeastServedFirst && !Shares.mayExceed(Request.Who))
+    return false;
   if (Request.HasWorkspace && !Request.Continues)
     Shares.admitted(Request.Who, Request.ShareTokens);
   Request.place(Where);
--- a/src/dataplane/fair_share.cpp
+++ b/src/dataplane/fair_share.cpp
@@ -9,6 +9,9 @@
 
 /// A workspace that asked for this many times what it got was refused work.
 constexpr double RefusedWorkFactor = 1.1;
+/// Part of a share that a workspace has to ask for to count as backlogged; one
+/// request in flight is no backlog.
+constexpr double BackloggedPart = 0.25;
 /// How far a workspace may be ahead of the least served one; covers the lag
 /// of the peers' tables.
 constexpr double ExcessFactor = 1.15;
@@ -102,7 +105,8 @@
   Level = maxMinLevel(std::move(Asked), Capacity);
   LeastServed = std::numeric_limits<double>::infinity();
   for (const auto &[Who, Usage] : Fleet)
-    if (Usage.Asked > RefusedWorkFactor * Usage.Admitted)
+    if (Usage.Asked > RefusedWorkFactor * Usage.Admitted &&
+        Usage.Asked > BackloggedPart * Level)
       LeastServed = std::min(LeastServed, Usage.Admitted / Level);
 }
 
--- a/tests/unit-dataplane-decisions.cpp
+++ b/tests/unit-dataplane-decisions.cpp
@@ -136,6 +136,7 @@
   CPPUNIT_TEST(longPromptsAreNotStarvedByShortOnes);
   CPPUNIT_TEST(floodingWorkspaceIsRefusedAtOnce);
   CPPUNIT_TEST(leastServedWorkspaceGetsSpareCapacityFirst);
+  CPPUNIT_TEST(lastCapacityIsKeptForTheLeastServed);
   CPPUNIT_TEST(capacityIsNotLeftIdleForShares);
   CPPUNIT_TEST(refusedCallersMayStillBeOnTime);
   CPPUNIT_TEST(waitingRequestIsGivenUpInTime);
@@ -296,6 +297,29 @@
     CPPUNIT_ASSERT(W.Shares.mayExceed(Behind));
   }
 
+  // Guards against a backlog in one router that others outrun: both
+  // workspaces are below their share, but one is far behind the other.
+  void lastCapacityIsKeptForTheLeastServed() {
+    World W;
+    const double Window = 4 * TokensPerSecond;
+    const WorkspaceKey Ahead(stableHash("ahead"));
+    const WorkspaceKey Behind(stableHash("behind"));
+    W.Shares.asked(Ahead, Window);
+    W.Shares.asked(Behind, Window);
+    W.Shares.admitted(Ahead, 0.45 * Window);
+    W.Shares.admitted(Behind, 0.1 * Window);
+    W.Shares.update(TokensPerSecond);
+    for (const UpstreamRecord &Each : engines()) {
+      UpstreamLoad Load;
+      Load.RecentWork = 0.9 * W.Places.workLimit();
+      W.Table.add(Each.Id, Load);
+    }
+    CPPUNIT_ASSERT(W.submit("ahead", 100, 100)->Placed.empty());
+    W.Queue.stop();
+    World Other;
+    CPPUNIT_ASSERT(!Other.submit("ahead", 100, 100)->Placed.empty());
+  }
+
   // Guards against capacity that idles while work is refused.
   void capacityIsNotLeftIdleForShares() {
     World W;
