Let the fleet agree on the pace of its engines

Change: PaceControl, additive increase and multiplicative decrease on whether first events were on time; reports and digests carry the factors and all routers use the mean. Tests for both.

--- a/include/mallowglade/detail/dataplane/peer_message.hpp
+++ b/include/mallowglade/detail/dataplane/peer_message.hpp
@@ -43,6 +43,8 @@
   /// True while the router may be offered to callers.
   bool Ready = false;
   ConfigurationVersion Config;
+  /// Sum of the routers' pace factors: one of the sender, or those of a zone.
+  double PaceSum = 0;
   /// Set if the sender reads the store itself.
   std::optional<StateProof> Proof;
   LoadTable Loads;
--- a/include/mallowglade/detail/dataplane/placement.hpp
+++ b/include/mallowglade/detail/dataplane/placement.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <mallowglade/detail/dataplane/pace_control.hpp>
 #include <mallowglade/detail/dataplane/upstream_table.hpp>
 
 #include <optional>
@@ -82,8 +83,12 @@
   bool hasSpare(const UpstreamState &Upstream) const;
   /// @brief Tells whether an upstream is so idle that shares do not matter.
   bool isIdle(const UpstreamState &Upstream) const;
+  /// @brief Notes whether a first event was on time.
+  void firstEvent(bool OnTime) { Pace.sample(OnTime); }
+  /// @return the pace of this router and, through it, of the fleet
+  PaceControl &pace() { return Pace; }
   /// @return largest work that an engine should be given in `RecentSpan`
-  double workLimit() const { return WorkLimit; }
+  double workLimit() const { return WorkLimit * Pace.factor(); }
   /// @return true if the service has an upstream that may take work at all
   bool anyUsable(const ServiceId &Name) const;
 
@@ -107,6 +112,7 @@
   /// Prompt tokens that an engine reads in a millisecond.
   double PromptTokensPerMs = 0;
   double WorkLimit = 0;
+  PaceControl Pace;
 };
 
 } // namespace mallowglade::dataplane
--- a/include/mallowglade/detail/dataplane/traffic.hpp
+++ b/include/mallowglade/detail/dataplane/traffic.hpp
@@ -29,6 +29,9 @@
 struct PeerSums {
   LoadTable Loads;
   UsageTable Usage;
+  /// Sum of the routers' pace factors, and their number.
+  double PaceSum = 0;
+  double Routers = 0;
 };
 
 /// @brief What the traffic thread tells the other routers.
@@ -38,6 +41,7 @@
   std::size_t BusyConnections = 0;
   /// True while callers should be sent to other routers.
   bool Overloaded = false;
+  double Pace = 1;
 };
 
 /// @brief Counters of the traffic thread, for the metrics.
--- a/src/dataplane/control.cpp
+++ b/src/dataplane/control.cpp
@@ -223,6 +223,7 @@
   Report.Ready = offered();
   if (View.Config)
     Report.Config = View.Config->Version;
+  Report.PaceSum = OwnReport.Pace;
   Report.Loads = OwnReport.Loads;
   Report.Usage = OwnReport.Usage;
   const TimePoint Now = Time.now();
--- a/src/dataplane/peer_directory.cpp
+++ b/src/dataplane/peer_directory.cpp
@@ -138,6 +138,7 @@
     if (!sameZone(Each) || !live(Each))
       continue;
     Own.Members.push_back({Id, Each.Record.CallerAddress, Each.Last.Ready});
+    Own.PaceSum += Each.Last.PaceSum;
     addLoads(Own.Loads, Each.Last.Loads);
     addUsage(Own.Usage, Each.Last.Usage);
   }
@@ -194,12 +195,16 @@
   for (const auto &[Id, Each] : Peers) {
     if (!sameZone(Each) || !live(Each))
       continue;
+    Sum.PaceSum += Each.Last.PaceSum;
+    Sum.Routers += 1;
     addLoads(Sum.Loads, Each.Last.Loads);
     addUsage(Sum.Usage, Each.Last.Usage);
   }
   for (const auto &[Zone, Each] : Digests) {
     if (Time.now() - Each.HeardAt >= DigestLifetime)
       continue;
+    Sum.PaceSum += Each.Last.PaceSum;
+    Sum.Routers += static_cast<double>(Each.Last.Members.size());
     addLoads(Sum.Loads, Each.Last.Loads);
     addUsage(Sum.Usage, Each.Last.Usage);
   }
--- a/src/dataplane/peer_message.cpp
+++ b/src/dataplane/peer_message.cpp
@@ -13,7 +13,7 @@
 namespace {
 
 /// Raised when the layout changes, so that versions of the program can mix.
-constexpr unsigned FormatVersion = 3;
+constexpr unsigned FormatVersion = 4;
 
 using LoadRow = std::tuple<std::uint64_t, std::uint32_t, std::uint32_t,
                            std::uint32_t, std::uint32_t>;
@@ -25,7 +25,8 @@
 using Layout =
     std::tuple<unsigned, std::string, std::uint64_t, std::uint64_t, std::string,
                bool, std::uint64_t, std::vector<LoadRow>, std::vector<UsageRow>,
-               std::vector<ProofRow>, std::string, std::vector<MemberRow>>;
+               std::vector<ProofRow>, std::string, std::vector<MemberRow>,
+               double>;
 
 std::uint32_t whole(double Value) {
   constexpr double Most = 4e9;
@@ -38,7 +39,7 @@
 std::string encodeReport(const PeerReport &Report) {
   Layout Out;
   auto &[Format, Sender, Incarnation, Sequence, Address, Ready, Version, Loads,
-         Usage, Proofs, Zone, Members] = Out;
+         Usage, Proofs, Zone, Members, Pace] = Out;
   Format = FormatVersion;
   Sender = Report.Sender.Value;
   Incarnation = Report.Incarnation;
@@ -52,6 +53,7 @@
   for (const auto &[Key, Used] : Report.Usage)
     Usage.emplace_back(Key.Value, whole(Used.Asked), whole(Used.Admitted));
   Zone = Report.Zone.Value;
+  Pace = Report.PaceSum;
   for (const ZoneMember &Each : Report.Members)
     Members.emplace_back(Each.Id.Value, Each.CallerAddress, Each.Ready);
   if (Report.Proof) {
@@ -75,7 +77,7 @@
     Layout In;
     Handle.get().convert(In);
     const auto &[Format, Sender, Incarnation, Sequence, Address, Ready, Version,
-                 Loads, Usage, Proofs, Zone, Members] = In;
+                 Loads, Usage, Proofs, Zone, Members, Pace] = In;
     if (Format != FormatVersion || Sender.empty())
       return Error{
           ErrorId::InvalidMessage, "unknown format of a peer report", {}};
@@ -92,6 +94,7 @@
     for (const auto &[Key, Asked, Admitted] : Usage)
       Report.Usage[WorkspaceKey(Key)] = {double(Asked), double(Admitted)};
     Report.Zone = ZoneId(Zone);
+    Report.PaceSum = Pace;
     for (const auto &[Id, Callers, MemberReady] : Members)
       Report.Members.push_back({RouterId(Id), Callers, MemberReady});
     for (const auto &[Fingerprint, Age, Heard] : Proofs) {
--- a/src/dataplane/placement.cpp
+++ b/src/dataplane/placement.cpp
@@ -87,8 +87,8 @@
   if (Now.Running > 0 &&
       Now.KvTokens + More.KvTokens > KvFill * Kind->Engine->KvCapacityTokens)
     return false;
-  if (Now.RecentWork + Settings.SizeWeight * More.RecentWork > WorkLimit &&
-      Now.RecentWork > Settings.IdleWork * WorkLimit)
+  if (Now.RecentWork + Settings.SizeWeight * More.RecentWork > workLimit() &&
+      Now.RecentWork > Settings.IdleWork * workLimit())
     return false;
   const auto Shortest = ShortestObjective.find(Query.Service);
   const Milliseconds Objective =
@@ -143,7 +143,7 @@
 double Placement::score(const UpstreamState &Upstream) const {
   const UpstreamLoad Load = Upstream.total();
   const double Slots = std::max(1U, Upstream.Record.Slots);
-  const double Work = WorkLimit > 0 ? Load.RecentWork / WorkLimit : 0;
+  const double Work = workLimit() > 0 ? Load.RecentWork / workLimit() : 0;
   // The own zone wins between upstreams of equal load.
   return Load.Running / Slots + Work +
          (Upstream.Record.Zone == Zone ? 0 : ForeignZoneSlots / Slots);
@@ -172,14 +172,14 @@
   const double Slots = std::max(1U, Upstream.Record.Slots);
   const UpstreamLoad Now = Upstream.total();
   return Now.Running < SpareSlots * Slots &&
-         Now.RecentWork < Settings.SpareWork * WorkLimit;
+         Now.RecentWork < Settings.SpareWork * workLimit();
 }
 
 bool Placement::isIdle(const UpstreamState &Upstream) const {
   const double Slots = std::max(1U, Upstream.Record.Slots);
   const UpstreamLoad Now = Upstream.total();
   return Now.Running < Settings.IdleWork * Slots &&
-         Now.RecentWork < Settings.IdleWork * WorkLimit;
+         Now.RecentWork < Settings.IdleWork * workLimit();
 }
 
 } // namespace mallowglade::dataplane
--- a/src/dataplane/request_run.cpp
+++ b/src/dataplane/request_run.cpp
@@ -197,9 +197,11 @@
     Counted.UnreadPrompt = 0;
     Owner.schedulePump();
   }
-  if (FirstByte.count() < 0)
+  if (FirstByte.count() < 0) {
     FirstByte =
         std::chrono::duration_cast<Milliseconds>(Owner.Time.now() - Arrived);
+    Owner.Places.firstEvent(FirstByte <= Of.LatencyObjective);
+  }
 }
 
 void RequestRun::beginRelay() {
--- a/src/dataplane/traffic.cpp
+++ b/src/dataplane/traffic.cpp
@@ -124,6 +124,7 @@
 void Traffic::applyPeers(const PeerSums &Sums) {
   Upstreams.setPeers(Sums.Loads);
   Shares.setPeers(Sums.Usage);
+  Places.pace().setPeers(Sums.PaceSum, Sums.Routers);
   if (View.Config)
     Shares.update(View.Config->Limits.TokensPerSecond);
   Queue.pump();
@@ -131,7 +132,7 @@
 
 TrafficReport Traffic::report() {
   return {Upstreams.ownLoads(), Shares.ownUsage(), Server.busyConnections(),
-          Overload.shunned(Time.now())};
+          Overload.shunned(Time.now()), Places.pace().own()};
 }
 
 void Traffic::drain() {
--- a/tests/unit-dataplane-decisions.cpp
+++ b/tests/unit-dataplane-decisions.cpp
@@ -140,6 +140,8 @@
   CPPUNIT_TEST(capacityIsNotLeftIdleForShares);
   CPPUNIT_TEST(refusedCallersMayStillBeOnTime);
   CPPUNIT_TEST(waitingRequestIsGivenUpInTime);
+  CPPUNIT_TEST(lateFirstEventsReduceTheWork);
+  CPPUNIT_TEST(routersAgreeOnThePace);
   CPPUNIT_TEST(unconfirmedStateIsReadInTime);
   CPPUNIT_TEST(delayedReportsProveNothing);
   CPPUNIT_TEST(overloadedRouterIsNotOffered);
@@ -359,6 +361,37 @@
     CPPUNIT_ASSERT_EQUAL(std::size_t(0), W.Queue.waiting());
   }
 
+  // Guards against engines that stay overfilled because they are slower than
+  // their stated capacity.
+  void lateFirstEventsReduceTheWork() {
+    World W;
+    const double Full = W.Places.workLimit();
+    for (int Request = 0; Request < 200; ++Request)
+      W.Places.firstEvent(false);
+    W.Places.pace().setPeers(0, 0);
+    CPPUNIT_ASSERT(W.Places.workLimit() < 0.5 * Full);
+    CPPUNIT_ASSERT(W.Places.workLimit() > 0.2 * Full);
+    for (int Request = 0; Request < 1'000; ++Request)
+      W.Places.firstEvent(true);
+    W.Places.pace().setPeers(0, 0);
+    CPPUNIT_ASSERT_DOUBLES_EQUAL(Full, W.Places.workLimit(), 0.01 * Full);
+  }
+
+  // Guards against workspaces whose service depends on the router they use.
+  void routersAgreeOnThePace() {
+    constexpr int Rounds = 100;
+    PaceControl Slow;
+    PaceControl Quick;
+    for (int Round = 0; Round < Rounds; ++Round) {
+      Slow.sample(false);
+      Quick.sample(true);
+      const double SlowOwn = Slow.own();
+      Slow.setPeers(Quick.own(), 1);
+      Quick.setPeers(SlowOwn, 1);
+    }
+    CPPUNIT_ASSERT_DOUBLES_EQUAL(Slow.factor(), Quick.factor(), 0.02);
+  }
+
   // Guards against a router that learns too late that an upstream leaves,
   // because the routers that read the store cannot reach it.
   void unconfirmedStateIsReadInTime() {
