Compute the retry test's bound in whole numbers

Ruled out: an exclusion; the finding is right about the form.

Change: the number of requests is a whole number of its own.

Conclusion: the bound is the same as before.

--- a/tests/unit-dataplane-decisions.cpp
+++ b/tests/unit-dataplane-decisions.cpp
@@ -462,18 +462,19 @@
             Time);
         All.back().setRouters(Routers);
       }
+      const std::size_t PerSecond = Requests / 8U;
       double Repeats = 0;
       for (int Second = 0; Second < WindowSeconds; ++Second) {
         for (RetryAllowance &Each : All) {
-          for (unsigned At = 0; At < Requests / 8U; ++At)
+          for (std::size_t At = 0; At < PerSecond; ++At)
             Each.request(Models);
           while (Each.take(Models))
             ++Repeats;
         }
         Time.advance(std::chrono::seconds(1));
       }
-      const double Sent =
-          static_cast<double>((Requests / 8U) * Routers * WindowSeconds);
+      const auto Sent =
+          static_cast<double>(PerSecond * Routers * WindowSeconds);
       RC_ASSERT(Repeats <= Ratio * Sent + Slack);
     });
     CPPUNIT_ASSERT(Holds);
