Destroy the router of the proxy test before its event loop

Cause: the address sanitizer reported a timer freed after its loop; members are destroyed in reverse order of declaration.

Ruled out: a fault in the router; a process ends with both.

Change: the test world ends router and sessions first.

Figures: unit-dataplane-proxy failed under the sanitizer before this commit.

Conclusion: the sanitizer run of the whole script is still to be repeated.

--- a/tests/support/proxy_world.cpp
+++ b/tests/support/proxy_world.cpp
@@ -106,6 +106,9 @@
   for (const auto &Each : Sessions)
     Each->close();
   runFor(std::chrono::milliseconds(20));
+  // Their sockets and timers belong to the event loop.
+  Router.reset();
+  Sessions.clear();
 }
 
 void ProxyWorld::apply() { Router->apply(View); }
