Draw engines before looking at their room

Cause: in overload a router looked for engines with room in its reports, which are some hundred milliseconds old, and drew among these.

Ruled out: shared prompt parts that draw requests to one engine (the burst came from 35 routers with all kinds of requests), and slow engines (the medians differ by more than their speeds).

Change: three engines are drawn among all usable ones; one of them is taken if it has room. A request that finds none waits for the next report or answer.

Conclusion: bounds what one engine gets in the age of a report. The age itself is the next thing to mend.

--- a/src/dataplane/placement.cpp
+++ b/src/dataplane/placement.cpp
@@ -151,19 +151,24 @@
 
 PlacementChoice Placement::lessLoaded(const PlacementQuery &Query,
                                       TimePoint Now) const {
-  std::vector<UpstreamState *> Fitting;
+  std::vector<UpstreamState *> Usable;
   for (UpstreamState *State : Table.ofService(Query.Service))
-    if (usable(*State, Query, Now) && fits(*State, Query, false))
-      Fitting.push_back(State);
-  if (Fitting.empty())
-    return {};
-  // All routers read the same reports: the least loaded upstream would get
-  // the requests of all of them until the next report.
+    if (usable(*State, Query, Now))
+      Usable.push_back(State);
+  // All routers read the same reports. Drawing before looking at the loads
+  // bounds what one upstream gets until the next report, also where it is the
+  // only one that seems to have room.
+  const Service *Kind = Config->serviceOf(Query.Service);
+  const bool Draw = Kind != nullptr && Kind->Engine.has_value();
+  const std::size_t Looks =
+      Draw && !Usable.empty() ? std::size_t(Draws) : Usable.size();
   PlacementChoice Best;
-  for (unsigned Draw = 0; Draw < Draws; ++Draw) {
-    UpstreamState *Drawn = Fitting[Random.below(Fitting.size())];
-    if (Best.Upstream == nullptr || score(*Drawn) < score(*Best.Upstream))
-      Best.Upstream = Drawn;
+  for (std::size_t Look = 0; Look < Looks; ++Look) {
+    UpstreamState *State =
+        Draw ? Usable[Random.below(Usable.size())] : Usable[Look];
+    if (fits(*State, Query, false) &&
+        (Best.Upstream == nullptr || score(*State) < score(*Best.Upstream)))
+      Best.Upstream = State;
   }
   return Best;
 }
--- a/tests/unit-dataplane-decisions.cpp
+++ b/tests/unit-dataplane-decisions.cpp
@@ -130,6 +130,7 @@
   CPPUNIT_TEST(maxMinLevelUsesTheWholeCapacity);
   CPPUNIT_TEST(placementAgreesAcrossRouters);
   CPPUNIT_TEST(routersWithEqualReportsDoNotHerd);
+  CPPUNIT_TEST(lastRoomIsNotRushedInto);
   CPPUNIT_TEST(busyHomeIsAskedForItsParts);
   CPPUNIT_TEST(leavingAndFailedUpstreamsGetNoWork);
   CPPUNIT_TEST(recentWorkLimitsWhatAnEngineIsGiven);
@@ -207,6 +208,28 @@
       CPPUNIT_ASSERT(Count < Routers * 3 / 4);
   }
 
+  // Guards against an upstream that gets the requests of all routers because
+  // it is the only one with room in their equal, late reports.
+  void lastRoomIsNotRushedInto() {
+    constexpr std::uint64_t Routers = 60;
+    constexpr unsigned ManyEngines = 40;
+    unsigned Sent = 0;
+    for (std::uint64_t Router = 0; Router < Routers; ++Router) {
+      World W(Router);
+      W.Table.update(engines(ManyEngines));
+      W.Places.configure(W.Config);
+      UpstreamLoad Full;
+      Full.Running = 50;
+      Full.RecentWork = 2 * W.Places.workLimit();
+      for (unsigned At = 1; At < ManyEngines; ++At)
+        W.Table.add(engines(ManyEngines)[At].Id, Full);
+      if (W.Places.choose(query(std::nullopt)).Upstream != nullptr)
+        ++Sent;
+    }
+    // One request of each router would be several times what it can take.
+    CPPUNIT_ASSERT(Sent <= Routers / 4);
+  }
+
   // Guards against shared parts read again when their home is busy.
   void busyHomeIsAskedForItsParts() {
     World W;
