Use proofs of other routers and shorten the age of reports

Cause: a router's loads reached the others after up to 0.9 s: its traffic thread's report waited for the next turn (200 ms), the zone's digest for another one, receivers looked every 80 ms and passed sums on every 200 ms. Besides, proofs in reports were received and never used (the call of onProof was missing), so every router read the store by itself.

Ruled out: lost datagrams (no gaps in the sequence numbers were counted).

Change: routers of a zone report every 100 ms, as soon as the traffic thread has answered; receivers look every 25 ms and pass sums on at once. Digests go to the first two routers of each other zone, which hand them on within their zone, so that fewer bytes cross zones although digests are more frequent. Proofs are used: followers read the store only when it has changed or reports stay out.

--- a/include/mallowglade/detail/dataplane/control.hpp
+++ b/include/mallowglade/detail/dataplane/control.hpp
@@ -62,7 +62,11 @@
   void announce();
   void exchange();
   void receive();
-  void onDatagram(std::size_t Size);
+  /// @return true if the datagram told something new
+  bool onDatagram(std::size_t Size);
+  /// @brief Sends a digest of another zone to the routers of this one, if this
+  ///   router is the one to do so.
+  void handOn(PeerReport Digest);
   void publishPeers();
   void onReadiness(const std::shared_ptr<http1::ServerExchange> &Exchange);
   void onAddresses(const std::shared_ptr<http1::ServerExchange> &Exchange);
@@ -106,6 +110,8 @@
   bool Reading = false;
   bool StoreReachable = false;
   bool Leaving = false;
+  /// True while the traffic thread owes a report.
+  bool AwaitsReport = false;
 };
 
 } // namespace mallowglade::dataplane
--- a/include/mallowglade/detail/dataplane/peer_directory.hpp
+++ b/include/mallowglade/detail/dataplane/peer_directory.hpp
@@ -10,12 +10,21 @@
 
 namespace mallowglade::dataplane {
 
+/// @brief What a report told that was not known before.
+struct Acceptance {
+  /// False for a report that is older than one taken before.
+  bool Fresh = false;
+  /// True if a router appeared or its readiness changed.
+  bool Changed = false;
+};
+
 /// @brief Knows the other routers from the store and from their reports.
 ///
 /// The routers of a zone report to each other. The first of them, in an order
-/// that all agree on, sends a digest of the zone to all other zones, so that
-/// few bytes cross zones; the second one does so less often, in case the first
-/// is cut off from them.
+/// that all agree on, sends a digest of the zone to the first two routers of
+/// each other zone, which hand it on within their zone, so that few bytes cross
+/// zones. The second router of a zone does what the first does less often, in
+/// case the first is cut off.
 class PeerDirectory {
 public:
   /// @param Self this router
@@ -25,12 +34,13 @@
   /// @brief Takes the registrations of the store.
   void setRegistered(const std::vector<RouterRecord> &List);
   /// @brief Takes a router's own report or a digest.
-  /// @return true if the sender's readiness changed
-  bool accept(PeerReport Report);
+  /// @return what it told
+  Acceptance accept(PeerReport Report);
   /// @return addresses of the routers in this zone
   std::vector<std::string> zoneAddresses() const;
-  /// @return addresses of the routers in other zones
-  std::vector<std::string> otherAddresses() const;
+  /// @return addresses that a digest goes to: the first two routers of each
+  ///   other zone, or all of a zone that has not been heard
+  std::vector<std::string> digestAddresses() const;
   /// @brief Turns a router's own report into a digest of its zone.
   PeerReport digest(PeerReport Own) const;
   /// @return addresses of the routers that callers may be offered
@@ -64,8 +74,8 @@
   bool sameZone(const Peer &Of) const { return Of.Record.Zone == Self.Zone; }
   bool live(const Peer &Of) const;
   bool ready(const Peer &Of) const;
-  bool acceptOwn(PeerReport Report);
-  bool acceptDigest(PeerReport Report);
+  Acceptance acceptOwn(PeerReport Report);
+  Acceptance acceptDigest(PeerReport Report);
 
   RouterRecord Self;
   const Clock &Time;
--- a/src/dataplane/control.cpp
+++ b/src/dataplane/control.cpp
@@ -17,8 +17,8 @@
 /// Renewals of a registration; its lease lasts three of them.
 constexpr Milliseconds AnnouncePeriod{3'000};
 /// Time between looks for reports of other routers.
-constexpr Milliseconds ReceivePeriod{80};
-/// The second router of a zone sends each n-th digest.
+constexpr Milliseconds ReceivePeriod{25};
+/// The second router of a zone sends and hands on each n-th digest.
 constexpr std::uint64_t SecondDigestEvery = 5;
 /// Sent reports whose time is remembered.
 constexpr std::size_t RememberedReports = 64;
@@ -240,10 +240,19 @@
   const bool SendsDigest =
       Rank == 0 || (Rank == 1 && Sequence % SecondDigestEvery == 0);
   if (SendsDigest)
-    sendTo(Peers.otherAddresses(),
+    sendTo(Peers.digestAddresses(),
            encodeReport(Peers.digest(std::move(Report))));
 }
 
+void Control::handOn(PeerReport Digest) {
+  const std::size_t Rank = Peers.zoneRank();
+  if (Rank > 1 || (Rank == 1 && Digest.Sequence % SecondDigestEvery != 0))
+    return;
+  if (Digest.Proof)
+    Digest.Proof->Age += ReceivePeriod;
+  sendTo(Peers.zoneAddresses(), encodeReport(Digest));
+}
+
 void Control::sendTo(const std::vector<std::string> &Addresses,
                      const std::string &Bytes) {
   for (const std::string &Address : Addresses) {
@@ -256,8 +265,10 @@
 }
 
 void Control::exchange() {
-  sendReport();
-  publishPeers();
+  // A traffic thread that is late must not look like a router that is gone.
+  if (AwaitsReport)
+    sendReport();
+  AwaitsReport = true;
   Link.onTraffic([this](Traffic &Source) {
     auto Next = Source.report();
     const auto Counters = Source.counters();
@@ -265,6 +276,7 @@
       onReport(Reported, Counters);
     });
   });
+  publishPeers();
   Log.flush();
   every(ExchangeTimer, Peers.reportPeriod(), [this] { exchange(); });
 }
@@ -272,6 +284,8 @@
 void Control::onReport(TrafficReport Report, TrafficCounters Counters) {
   OwnReport = std::move(Report);
   OwnCounters = Counters;
+  AwaitsReport = false;
+  sendReport();
 }
 
 void Control::publishPeers() {
@@ -283,32 +297,41 @@
   // Datagrams are taken together: one wake-up for each would cost more than
   // their content.
   std::error_code Error;
+  bool Fresh = false;
   while (true) {
     const std::size_t Size =
         Socket.receive_from(asio::buffer(Datagram), Sender, 0, Error);
     if (Error)
       break;
-    onDatagram(Size);
+    Fresh |= onDatagram(Size);
   }
+  if (Fresh)
+    publishPeers();
   if (Error != asio::error::would_block)
     Counts.count("mallowglade_peer_receive_errors_total",
                  {{"error", Error.message()}});
   every(ReceiveTimer, ReceivePeriod, [this] { receive(); });
 }
 
-void Control::onDatagram(std::size_t Size) {
-  Result<PeerReport> Report = decodeReport({Datagram.data(), Size});
-  if (!isOk(Report)) {
+bool Control::onDatagram(std::size_t Size) {
+  Result<PeerReport> Read = decodeReport({Datagram.data(), Size});
+  if (!isOk(Read)) {
     Log.write("peer_report_rejected", {{"from", Sender.address().to_string()},
-                                       {"cause", toString(errorOf(Report))}});
-    return;
+                                       {"cause", toString(errorOf(Read))}});
+    return false;
   }
-  const std::string From = valueOf(Report).Sender.Value;
-  const bool NowReady = valueOf(Report).Ready;
-  const auto Proof = valueOf(Report).Proof;
-  if (Peers.accept(std::move(valueOf(Report))))
-    Log.write("peer_changed",
-              {{"router", From}, {"ready", NowReady ? "true" : "false"}});
+  const PeerReport &Report = valueOf(Read);
+  const Acceptance Outcome = Peers.accept(Report);
+  if (!Outcome.Fresh)
+    return false;
+  if (Outcome.Changed)
+    Log.write("peer_changed", {{"router", Report.Sender.Value},
+                               {"ready", Report.Ready ? "true" : "false"}});
+  if (Report.Proof)
+    onProof(*Report.Proof);
+  if (!Report.Members.empty())
+    handOn(Report);
+  return true;
 }
 
 bool Control::ready() const { return View.Config && !Leaving; }
@@ -318,9 +341,8 @@
 void Control::leave() {
   Leaving = true;
   Store.withdraw();
-  // Tell the others at once; the report goes out again on the next turn.
-  ExchangeTimer.cancel();
-  exchange();
+  // The others learn it at once, not with the next report.
+  sendReport();
 }
 
 void Control::onReadiness(
--- a/src/dataplane/peer_directory.cpp
+++ b/src/dataplane/peer_directory.cpp
@@ -7,11 +7,16 @@
 namespace {
 
 /// Shortest time between reports; the load that peers see is as old.
-constexpr Milliseconds ShortestPeriod{200};
-/// Reports a second that a router sends at most.
-constexpr std::size_t MaxReportsPerSecond = 320;
+constexpr Milliseconds ShortestPeriod{100};
+/// Reports a second that a router receives at most from its zone.
+constexpr std::size_t MaxReportsPerSecond = 200;
 /// Reports that may be missed before a router counts as gone.
 constexpr int ReportsUntilGone = 5;
+/// Silence that is borne at any rate; a router that starts late or is short of
+/// processor time is not gone.
+constexpr Milliseconds ShortestSilence{1'000};
+/// Routers of a zone that a digest is sent to.
+constexpr std::size_t DigestReceivers = 2;
 /// Age at which a zone's digest is no longer used; the second router of a zone
 /// sends one a second.
 constexpr Milliseconds DigestLifetime{2'500};
@@ -24,6 +29,9 @@
 /// Time that a router which is no longer registered is remembered.
 constexpr Milliseconds RememberFor{10'000};
 
+/// Order of the routers of a zone that all agree on.
+std::uint64_t rankOf(const RouterId &Id) { return stableHash(Id.Value); }
+
 void addUsage(UsageTable &To, const UsageTable &From) {
   for (const auto &[Key, Used] : From) {
     To[Key].Asked += Used.Asked;
@@ -42,7 +50,8 @@
   if (Of.HeardAt == TimePoint{})
     return false;
   const auto Age = Time.now() - Of.HeardAt;
-  return sameZone(Of) ? Age < ReportsUntilGone * reportPeriod()
+  return sameZone(Of) ? Age < std::max(ShortestSilence,
+                                       ReportsUntilGone * reportPeriod())
                       : Age < DigestLifetime;
 }
 
@@ -66,18 +75,18 @@
   });
 }
 
-bool PeerDirectory::accept(PeerReport Report) {
+Acceptance PeerDirectory::accept(PeerReport Report) {
   if (Report.Sender == Self.Id)
-    return false;
+    return {};
   return Report.Members.empty() ? acceptOwn(std::move(Report))
                                 : acceptDigest(std::move(Report));
 }
 
-bool PeerDirectory::acceptOwn(PeerReport Report) {
+Acceptance PeerDirectory::acceptOwn(PeerReport Report) {
   Peer &Each = Peers[Report.Sender];
   const bool Restarted = Each.Last.Incarnation != Report.Incarnation;
   if (!Restarted && Report.Sequence <= Each.Last.Sequence)
-    return false;
+    return {};
   const bool Changed = !live(Each) || Each.Last.Ready != Report.Ready;
   Each.Record.Id = Report.Sender;
   Each.Record.Zone = Report.Zone;
@@ -85,21 +94,21 @@
   Each.Record.CallerAddress = Report.CallerAddress;
   Each.Last = std::move(Report);
   Each.HeardAt = Time.now();
-  return Changed;
+  return {true, Changed};
 }
 
-bool PeerDirectory::acceptDigest(PeerReport Report) {
+Acceptance PeerDirectory::acceptDigest(PeerReport Report) {
   if (Report.Zone == Self.Zone)
-    return false;
+    return {};
   Digest &Known = Digests[Report.Zone];
   const TimePoint Now = Time.now();
   const bool SameSender = Known.Last.Sender == Report.Sender &&
                           Known.Last.Incarnation == Report.Incarnation;
   if (SameSender && Report.Sequence <= Known.Last.Sequence)
-    return false;
+    return {};
   if (!SameSender && Known.HeardAt != TimePoint{} &&
       Now - Known.HeardAt < DigestTakeover)
-    return false;
+    return {};
   bool Changed = false;
   for (const ZoneMember &Member : Report.Members) {
     Peer &Each = Peers[Member.Id];
@@ -113,7 +122,7 @@
   }
   Known.Last = std::move(Report);
   Known.HeardAt = Now;
-  return Changed;
+  return {true, Changed};
 }
 
 std::vector<std::string> PeerDirectory::zoneAddresses() const {
@@ -124,11 +133,27 @@
   return Addresses;
 }
 
-std::vector<std::string> PeerDirectory::otherAddresses() const {
-  std::vector<std::string> Addresses;
+std::vector<std::string> PeerDirectory::digestAddresses() const {
+  std::map<ZoneId, std::vector<const Peer *>> Zones;
   for (const auto &[Id, Each] : Peers)
     if (!sameZone(Each) && !Each.Record.PeerAddress.empty())
-      Addresses.push_back(Each.Record.PeerAddress);
+      Zones[Each.Record.Zone].push_back(&Each);
+  std::vector<std::string> Addresses;
+  for (auto &[Zone, Members] : Zones) {
+    const auto FirstSilent = std::partition(
+        Members.begin(), Members.end(),
+        [this](const Peer *Each) { return live(*Each) && ready(*Each); });
+    if (FirstSilent != Members.begin()) {
+      std::sort(Members.begin(), FirstSilent,
+                [](const Peer *Left, const Peer *Right) {
+                  return rankOf(Left->Record.Id) < rankOf(Right->Record.Id);
+                });
+      const auto Live = static_cast<std::size_t>(FirstSilent - Members.begin());
+      Members.resize(std::min(Live, DigestReceivers));
+    }
+    for (const Peer *Each : Members)
+      Addresses.push_back(Each->Record.PeerAddress);
+  }
   return Addresses;
 }
 
@@ -174,19 +199,23 @@
 }
 
 std::size_t PeerDirectory::zoneRank() const {
-  const std::uint64_t Mine = stableHash(Self.Id.Value);
+  const std::uint64_t Mine = rankOf(Self.Id);
   return static_cast<std::size_t>(
       std::count_if(Peers.begin(), Peers.end(), [&](const auto &Entry) {
         const Peer &Each = Entry.second;
         return sameZone(Each) && live(Each) && Each.Last.Ready &&
-               stableHash(Entry.first.Value) < Mine;
+               rankOf(Entry.first) < Mine;
       }));
 }
 
 Milliseconds PeerDirectory::reportPeriod() const {
   constexpr std::size_t MillisecondsPerSecond = 1'000;
+  const auto InZone = static_cast<std::size_t>(
+      std::count_if(Peers.begin(), Peers.end(), [this](const auto &Entry) {
+        return sameZone(Entry.second);
+      }));
   const auto ForSize = Milliseconds(static_cast<std::int64_t>(
-      Peers.size() * MillisecondsPerSecond / MaxReportsPerSecond));
+      InZone * MillisecondsPerSecond / MaxReportsPerSecond));
   return std::max(ShortestPeriod, ForSize);
 }
 
--- a/tests/unit-dataplane-peers.cpp
+++ b/tests/unit-dataplane-peers.cpp
@@ -45,6 +45,7 @@
   CPPUNIT_TEST(silentRoutersAreNotOffered);
   CPPUNIT_TEST(cutOffRouterOffersTheRegisteredOnes);
   CPPUNIT_TEST(secondDigestTakesOverAfterAPause);
+  CPPUNIT_TEST(digestsGoToTheFirstTwoLiveRoutersOfAZone);
   CPPUNIT_TEST(foreignEntriesNameNoUpstream);
   CPPUNIT_TEST(configurationIsDecoded);
   CPPUNIT_TEST_SUITE_END();
@@ -99,12 +100,12 @@
     InZone.accept(reportOf(Second, 1, 3));
     const PeerReport Digest = InZone.digest(reportOf(First, 1, 4));
     PeerDirectory Other(Far, Time);
-    CPPUNIT_ASSERT(Other.accept(Digest));
+    CPPUNIT_ASSERT(Other.accept(Digest).Changed);
     CPPUNIT_ASSERT_EQUAL(7.0, Other.sums().Loads.at(Engine).Running);
     CPPUNIT_ASSERT_EQUAL(std::size_t(3), Other.liveRouters());
     CPPUNIT_ASSERT_EQUAL(std::size_t(2), Other.callerAddresses().size());
     // The zone itself counts the routers, not the digest.
-    CPPUNIT_ASSERT(!InZone.accept(Digest));
+    CPPUNIT_ASSERT(!InZone.accept(Digest).Fresh);
     CPPUNIT_ASSERT_EQUAL(3.0, InZone.sums().Loads.at(Engine).Running);
   }
 
@@ -160,7 +161,8 @@
     PeerDirectory ZoneFirst(First, Time);
     PeerDirectory ZoneSecond(Second, Time);
     Peers.accept(ZoneFirst.digest(reportOf(First, 1, 4)));
-    CPPUNIT_ASSERT(!Peers.accept(ZoneSecond.digest(reportOf(Second, 1, 6))));
+    CPPUNIT_ASSERT(
+        !Peers.accept(ZoneSecond.digest(reportOf(Second, 1, 6))).Fresh);
     CPPUNIT_ASSERT_EQUAL(4.0, Peers.sums().Loads.at(Engine).Running);
     Time.advance(Milliseconds(600));
     Peers.accept(ZoneSecond.digest(reportOf(Second, 2, 6)));
@@ -169,6 +171,37 @@
     CPPUNIT_ASSERT(Peers.sums().Loads.empty());
   }
 
+  // Guards against bytes between zones that grow with the size of the zones,
+  // and against digests sent only to routers that have failed.
+  void digestsGoToTheFirstTwoLiveRoutersOfAZone() {
+    ManualClock Time;
+    PeerDirectory Peers(router("10.1.0.1", "b"), Time);
+    std::vector<RouterRecord> Far;
+    for (int At = 1; At < 9; ++At)
+      Far.push_back(router("10.0.0." + std::to_string(At), "a"));
+    Peers.setRegistered(Far);
+    CPPUNIT_ASSERT_EQUAL(Far.size(), Peers.digestAddresses().size());
+    const auto DigestOf = [&](std::size_t FirstAlive, std::uint64_t Sequence) {
+      PeerReport Digest = reportOf(Far[FirstAlive], Sequence);
+      for (std::size_t At = FirstAlive; At < Far.size(); ++At)
+        Digest.Members.push_back({Far[At].Id, Far[At].CallerAddress, true});
+      return Digest;
+    };
+    Peers.accept(DigestOf(0, 1));
+    const auto Before = Peers.digestAddresses();
+    CPPUNIT_ASSERT_EQUAL(std::size_t(2), Before.size());
+    // Routers that are missing from the digests are left out in the end.
+    Time.advance(std::chrono::seconds(2));
+    Peers.accept(DigestOf(6, 2));
+    Time.advance(std::chrono::seconds(1));
+    Peers.accept(DigestOf(6, 3));
+    const auto After = Peers.digestAddresses();
+    CPPUNIT_ASSERT_EQUAL(std::size_t(2), After.size());
+    for (const std::string &Address : After)
+      CPPUNIT_ASSERT(Address == Far[6].PeerAddress ||
+                     Address == Far[7].PeerAddress);
+  }
+
   // Guards against entries of other writers taken for upstreams.
   void foreignEntriesNameNoUpstream() {
     using platform::decodeUpstream;
