--- a/include/mallowglade/detail/dataplane/control.hpp
+++ b/include/mallowglade/detail/dataplane/control.hpp
@@ -109,6 +109,8 @@
   TimePoint LastRead{};
   bool Reading = false;
   bool StoreReachable = false;
+  /// True after a reading that failed; unlike `StoreReachable`, false at start.
+  bool StoreLost = false;
   bool Leaving = false;
   /// True while the traffic thread owes a report.
   bool AwaitsReport = false;
--- a/include/mallowglade/detail/dataplane/peer_directory.hpp
+++ b/include/mallowglade/detail/dataplane/peer_directory.hpp
@@ -41,6 +41,15 @@
   /// @return addresses that a digest goes to: the first two routers of each
   ///   other zone, or all of a zone that has not been heard
   std::vector<std::string> digestAddresses() const;
+  /// @return true if this router sends a digest with a report
+  /// @param Sequence number of the report
+  bool sendsDigest(std::uint64_t Sequence) const;
+  /// @brief Tells whether a digest that came from its sender is handed on.
+  ///
+  /// A router that should not have got it hands it on as well: the sender does
+  /// not know the first routers of this zone yet, and would not learn them.
+  /// @param Sequence number of the digest
+  bool handsOn(std::uint64_t Sequence) const;
   /// @brief Turns a router's own report into a digest of its zone.
   PeerReport digest(PeerReport Own) const;
   /// @return addresses of the routers that callers may be offered
@@ -52,6 +61,10 @@
   /// @return rank of this router among the live ones of its zone; 0 is the
   ///   first
   std::size_t zoneRank() const;
+  /// @return rank of this router among the live ones of its zone for reading
+  ///   the store; those that have lost it come last
+  /// @param StoreLost true if this router has lost it
+  std::size_t readerRank(bool StoreLost) const;
   /// @return time between reports: it grows with the number of receivers, so
   ///   that the number of messages that a router handles does not
   Milliseconds reportPeriod() const;
@@ -74,6 +87,7 @@
   bool sameZone(const Peer &Of) const { return Of.Record.Zone == Self.Zone; }
   bool live(const Peer &Of) const;
   bool ready(const Peer &Of) const;
+  template <class Precedes> std::size_t rankBy(Precedes Before) const;
   Acceptance acceptOwn(PeerReport Report);
   Acceptance acceptDigest(PeerReport Report);
 
--- a/include/mallowglade/detail/dataplane/peer_message.hpp
+++ b/include/mallowglade/detail/dataplane/peer_message.hpp
@@ -42,6 +42,8 @@
   std::vector<ZoneMember> Members;
   /// True while the router may be offered to callers.
   bool Ready = false;
+  /// True while the router cannot read the metadata store.
+  bool StoreLost = false;
   ConfigurationVersion Config;
   /// Sum of the routers' pace factors: one of the sender, or those of a zone.
   double PaceSum = 0;
--- a/include/mallowglade/detail/dataplane/reading_policy.hpp
+++ b/include/mallowglade/detail/dataplane/reading_policy.hpp
@@ -20,6 +20,8 @@
 
   /// @brief Notes the start of an own reading that succeeded.
   void readAt(TimePoint Start);
+  /// @brief Notes a reading that failed.
+  void failedAt(TimePoint At) { FailedAt = At; }
   /// @brief Notes a report that the own state is the newest.
   /// @param Received when the report arrived
   /// @param Age age of the reporter's reading when it sent the report
@@ -32,8 +34,11 @@
   /// @brief Notes the time for which a report proves the own state.
   void proven(TimePoint At);
   /// @return true if the store should be read now
-  /// @param Rank rank of this router among the live ones of its zone
+  /// @param Rank rank of this router among those of its zone that can read
   bool shouldRead(TimePoint Now, std::size_t Rank) const;
+  /// @return time between two readings that follow changes; the first reader
+  ///   and a slow answer have to fit into the freshness as well
+  Milliseconds spacing() const { return Freshness / ReaderPart; }
   /// @return newest time for which the own state is proven to be current
   TimePoint provenAt() const { return ProvenAt; }
   /// @return start of the newest own reading
@@ -49,6 +54,7 @@
   TimePoint OwnReading{};
   TimePoint ConfirmedAt{};
   TimePoint ProvenAt{};
+  TimePoint FailedAt{};
 };
 
 } // namespace mallowglade::dataplane
--- a/src/cli/node_command.cpp
+++ b/src/cli/node_command.cpp
@@ -18,22 +18,22 @@
 
 namespace {
 
-/// Names the settings file where none is given on the command line.
-constexpr const char *SettingsVariable = "MALLOWGLADE_BOOT";
-
 std::unique_ptr<dataplane::FleetStore>
 makeStore(asio::io_context &Context, const dataplane::NodeSettings &Settings) {
+  static const SystemClock Time;
   const HostPort Address = splitAddress(Settings.StoreAddress);
   return std::make_unique<platform::PlatformStore>(
-      Context, asio::ip::tcp::endpoint(asio::ip::make_address(Address.Host),
-                                       Address.Port));
+      Context,
+      asio::ip::tcp::endpoint(asio::ip::make_address(Address.Host),
+                              Address.Port),
+      Time);
 }
 
 } // namespace
 
 ExitCode runNodeCommand(std::vector<std::string> Arguments) {
   CommandParser Parser(std::move(Arguments));
-  const char *FromEnvironment = std::getenv(SettingsVariable);
+  const char *FromEnvironment = std::getenv(platform::SettingsVariable);
   TCLAP::ValueArg<std::string> File(
       "s", "settings", "settings file (JSON)", false,
       FromEnvironment != nullptr ? FromEnvironment : "", "FILE", Parser.line());
--- a/src/dataplane/control.cpp
+++ b/src/dataplane/control.cpp
@@ -12,14 +12,12 @@
 constexpr Milliseconds PollPeriod{200};
 /// Oldest own reading that is reported to others.
 constexpr Milliseconds ProofLimit{2'000};
-/// Shortest time between two readings by one router.
-constexpr Milliseconds ReadSpacing{250};
+/// Time between readings of a router that has no configuration yet.
+constexpr Milliseconds FirstReadingPeriod{600};
 /// Renewals of a registration; its lease lasts three of them.
 constexpr Milliseconds AnnouncePeriod{3'000};
 /// Time between looks for reports of other routers.
 constexpr Milliseconds ReceivePeriod{25};
-/// The second router of a zone sends and hands on each n-th digest.
-constexpr std::uint64_t SecondDigestEvery = 5;
 /// Sent reports whose time is remembered.
 constexpr std::size_t RememberedReports = 64;
 /// Time that callers keep an answer with addresses.
@@ -108,7 +106,11 @@
 }
 
 void Control::pollStore() {
-  if (!View.Config || Readings.shouldRead(Time.now(), Peers.zoneRank()))
+  const TimePoint Now = Time.now();
+  const bool Due = View.Config
+                       ? Readings.shouldRead(Now, Peers.readerRank(StoreLost))
+                       : Now - LastRead >= FirstReadingPeriod;
+  if (Due)
     readStore();
   every(PollTimer, PollPeriod, [this] { pollStore(); });
 }
@@ -126,7 +128,7 @@
 }
 
 void Control::readSoon() {
-  const TimePoint Next = LastRead + ReadSpacing;
+  const TimePoint Next = LastRead + Readings.spacing();
   const TimePoint Now = Time.now();
   if (Next <= Now) {
     readStore();
@@ -166,6 +168,12 @@
     if (StoreReachable)
       Log.write("store_lost", {{"cause", toString(errorOf(State))}});
     StoreReachable = false;
+    Readings.failedAt(Time.now());
+    const bool Noticed = !StoreLost;
+    StoreLost = true;
+    // Another router of the zone has to take over the readings.
+    if (Noticed)
+      sendReport();
     return;
   }
   if (!StoreReachable)
@@ -175,6 +183,7 @@
          {"routers", std::int64_t(valueOf(State).Routers.size())},
          {"skipped_entries", std::int64_t(valueOf(State).SkippedEntries)}});
   StoreReachable = true;
+  StoreLost = false;
   FleetState &Read = valueOf(State);
   if (Asked < Readings.ownReading())
     return;
@@ -221,6 +230,7 @@
   Report.Zone = Self.Zone;
   Report.CallerAddress = Self.CallerAddress;
   Report.Ready = offered();
+  Report.StoreLost = StoreLost;
   if (View.Config)
     Report.Config = View.Config->Version;
   Report.PaceSum = OwnReport.Pace;
@@ -236,17 +246,16 @@
         StateProof{Fingerprint, std::chrono::ceil<Milliseconds>(Now - ReadAt),
                    Peers.heard()};
   sendTo(Peers.zoneAddresses(), encodeReport(Report));
-  const std::size_t Rank = Peers.zoneRank();
-  const bool SendsDigest =
-      Rank == 0 || (Rank == 1 && Sequence % SecondDigestEvery == 0);
-  if (SendsDigest)
+  if (Peers.sendsDigest(Sequence))
     sendTo(Peers.digestAddresses(),
            encodeReport(Peers.digest(std::move(Report))));
 }
 
 void Control::handOn(PeerReport Digest) {
-  const std::size_t Rank = Peers.zoneRank();
-  if (Rank > 1 || (Rank == 1 && Digest.Sequence % SecondDigestEvery != 0))
+  const bool Direct =
+      Digest.Sender.Value ==
+      fmt::format("{}:{}", Sender.address().to_string(), Sender.port());
+  if (!Direct || !Peers.handsOn(Digest.Sequence))
     return;
   if (Digest.Proof)
     Digest.Proof->Age += ReceivePeriod;
--- a/src/dataplane/peer_directory.cpp
+++ b/src/dataplane/peer_directory.cpp
@@ -15,6 +15,10 @@
 /// Silence that is borne at any rate; a router that starts late or is short of
 /// processor time is not gone.
 constexpr Milliseconds ShortestSilence{1'000};
+/// The second router of a zone sends and hands on each n-th digest. The pauses
+/// are longer than `DigestTakeover`, or its digests would keep out the first
+/// one's.
+constexpr std::uint64_t SecondDigestEvery = 10;
 /// Routers of a zone that a digest is sent to.
 constexpr std::size_t DigestReceivers = 2;
 /// Age at which a zone's digest is no longer used; the second router of a zone
@@ -157,6 +161,15 @@
   return Addresses;
 }
 
+bool PeerDirectory::sendsDigest(std::uint64_t Sequence) const {
+  const std::size_t Rank = zoneRank();
+  return Rank == 0 || (Rank == 1 && Sequence % SecondDigestEvery == 0);
+}
+
+bool PeerDirectory::handsOn(std::uint64_t Sequence) const {
+  return zoneRank() != 1 || Sequence % SecondDigestEvery == 0;
+}
+
 PeerReport PeerDirectory::digest(PeerReport Own) const {
   Own.Members.push_back({Self.Id, Self.CallerAddress, Own.Ready});
   for (const auto &[Id, Each] : Peers) {
@@ -198,16 +211,29 @@
   return Numbers;
 }
 
-std::size_t PeerDirectory::zoneRank() const {
-  const std::uint64_t Mine = rankOf(Self.Id);
+template <class Precedes>
+std::size_t PeerDirectory::rankBy(Precedes Before) const {
   return static_cast<std::size_t>(
       std::count_if(Peers.begin(), Peers.end(), [&](const auto &Entry) {
         const Peer &Each = Entry.second;
         return sameZone(Each) && live(Each) && Each.Last.Ready &&
-               rankOf(Entry.first) < Mine;
+               Before(Each.Last);
       }));
 }
 
+std::size_t PeerDirectory::zoneRank() const {
+  const std::uint64_t Mine = rankOf(Self.Id);
+  return rankBy(
+      [Mine](const PeerReport &Of) { return rankOf(Of.Sender) < Mine; });
+}
+
+std::size_t PeerDirectory::readerRank(bool StoreLost) const {
+  const auto Mine = std::pair(StoreLost, rankOf(Self.Id));
+  return rankBy([Mine](const PeerReport &Of) {
+    return std::pair(Of.StoreLost, rankOf(Of.Sender)) < Mine;
+  });
+}
+
 Milliseconds PeerDirectory::reportPeriod() const {
   constexpr std::size_t MillisecondsPerSecond = 1'000;
   const auto InZone = static_cast<std::size_t>(
--- a/src/dataplane/peer_message.cpp
+++ b/src/dataplane/peer_message.cpp
@@ -13,7 +13,7 @@
 namespace {
 
 /// Raised when the layout changes, so that versions of the program can mix.
-constexpr unsigned FormatVersion = 4;
+constexpr unsigned FormatVersion = 5;
 
 using LoadRow = std::tuple<std::uint64_t, std::uint32_t, std::uint32_t,
                            std::uint32_t, std::uint32_t>;
@@ -26,7 +26,7 @@
     std::tuple<unsigned, std::string, std::uint64_t, std::uint64_t, std::string,
                bool, std::uint64_t, std::vector<LoadRow>, std::vector<UsageRow>,
                std::vector<ProofRow>, std::string, std::vector<MemberRow>,
-               double>;
+               double, bool>;
 
 std::uint32_t whole(double Value) {
   constexpr double Most = 4e9;
@@ -39,7 +39,7 @@
 std::string encodeReport(const PeerReport &Report) {
   Layout Out;
   auto &[Format, Sender, Incarnation, Sequence, Address, Ready, Version, Loads,
-         Usage, Proofs, Zone, Members, Pace] = Out;
+         Usage, Proofs, Zone, Members, Pace, StoreLost] = Out;
   Format = FormatVersion;
   Sender = Report.Sender.Value;
   Incarnation = Report.Incarnation;
@@ -54,6 +54,7 @@
     Usage.emplace_back(Key.Value, whole(Used.Asked), whole(Used.Admitted));
   Zone = Report.Zone.Value;
   Pace = Report.PaceSum;
+  StoreLost = Report.StoreLost;
   for (const ZoneMember &Each : Report.Members)
     Members.emplace_back(Each.Id.Value, Each.CallerAddress, Each.Ready);
   if (Report.Proof) {
@@ -77,7 +78,7 @@
     Layout In;
     Handle.get().convert(In);
     const auto &[Format, Sender, Incarnation, Sequence, Address, Ready, Version,
-                 Loads, Usage, Proofs, Zone, Members, Pace] = In;
+                 Loads, Usage, Proofs, Zone, Members, Pace, StoreLost] = In;
     if (Format != FormatVersion || Sender.empty())
       return Error{
           ErrorId::InvalidMessage, "unknown format of a peer report", {}};
@@ -95,6 +96,7 @@
       Report.Usage[WorkspaceKey(Key)] = {double(Asked), double(Admitted)};
     Report.Zone = ZoneId(Zone);
     Report.PaceSum = Pace;
+    Report.StoreLost = StoreLost;
     for (const auto &[Id, Callers, MemberReady] : Members)
       Report.Members.push_back({RouterId(Id), Callers, MemberReady});
     for (const auto &[Fingerprint, Age, Heard] : Proofs) {
--- a/src/dataplane/reading_policy.cpp
+++ b/src/dataplane/reading_policy.cpp
@@ -12,6 +12,9 @@
 /// Age of the proof at which the store is read although reports confirm the
 /// state; credentials expire later.
 constexpr Milliseconds ProofLimit{2'500};
+/// Pause after a failed reading of a router that is not the first reader: all
+/// routers asking a store that fails would only add to its load.
+constexpr Milliseconds PauseAfterFailure{1'000};
 
 } // namespace
 
@@ -30,6 +33,8 @@
 bool ReadingPolicy::shouldRead(TimePoint Now, std::size_t Rank) const {
   if (Rank < Readers && Now - OwnReading >= Freshness / ReaderPart)
     return true;
+  if (FailedAt != TimePoint{} && Now - FailedAt < PauseAfterFailure)
+    return false;
   return Now - ConfirmedAt >= Freshness / UnconfirmedPart ||
          Now - ProvenAt >= ProofLimit;
 }
--- a/tests/unit-dataplane-control.cpp
+++ b/tests/unit-dataplane-control.cpp
@@ -5,6 +5,7 @@
 
 #include <asio.hpp>
 #include <cppunit/extensions/HelperMacros.h>
+#include <fmt/format.h>
 
 #include <fcntl.h>
 #include <unistd.h>
@@ -58,20 +59,26 @@
   const FleetState &State;
 };
 
-std::string freeAddress(asio::io_context &Context) {
-  asio::ip::tcp::acceptor Probe(Context,
-                                {asio::ip::make_address("127.0.0.1"), 0});
-  return "127.0.0.1:" + std::to_string(Probe.local_endpoint().port());
+/// An address of the loopback network that no other process uses: a port that
+/// was free a moment ago may be taken again.
+std::string addressOf(std::uint64_t Router, unsigned Port) {
+  constexpr unsigned ByteMask = 0xFF;
+  constexpr unsigned FirstBlock = 64;
+  constexpr unsigned BlockMask = 0x3F;
+  const auto Process = static_cast<unsigned>(getpid());
+  return fmt::format("127.{}.{}.{}:{}",
+                     FirstBlock + ((Process >> 8U) & BlockMask),
+                     Process & ByteMask, Router, Port);
 }
 
-NodeSettings settingsOf(asio::io_context &Context, const std::string &Zone) {
+NodeSettings settingsOf(std::uint64_t Router, const std::string &Zone) {
   NodeSettings Settings;
   Settings.Zone = ZoneId(Zone);
-  Settings.CallerListen = freeAddress(Context);
-  Settings.ReadinessListen = freeAddress(Context);
-  Settings.AddressesListen = freeAddress(Context);
-  Settings.PeerListen = freeAddress(Context);
-  Settings.MetricsListen = freeAddress(Context);
+  Settings.CallerListen = addressOf(Router, 7001);
+  Settings.ReadinessListen = addressOf(Router, 7002);
+  Settings.AddressesListen = addressOf(Router, 7003);
+  Settings.PeerListen = addressOf(Router, 7004);
+  Settings.MetricsListen = addressOf(Router, 7005);
   Settings.CredentialFreshness = Milliseconds(5'000);
   Settings.StateFreshness = Freshness;
   Settings.StopGrace = std::chrono::seconds(8);
@@ -85,8 +92,8 @@
 class TestRouter final : public TrafficLink {
 public:
   TestRouter(asio::io_context &Context, const std::string &Zone,
-             const FleetState &State, std::uint64_t Seed)
-      : Context(Context), Settings(settingsOf(Context, Zone)), Random(Seed),
+             const FleetState &State, std::uint64_t Number)
+      : Context(Context), Settings(settingsOf(Number, Zone)), Random(Number),
         Log(open(LogTarget, O_WRONLY), 1, Time), Store(Context, State),
         Proxy(Context, Settings, Wire, Time, Random, Log),
         State(Context, Settings, Wire, Store, *this, Time, Random, Log) {}
--- a/tests/unit-dataplane-decisions.cpp
+++ b/tests/unit-dataplane-decisions.cpp
@@ -438,6 +438,13 @@
     Time.advance(Step);
     CPPUNIT_ASSERT(!Policy.isNewer(Time.now(), 2 * Step));
     CPPUNIT_ASSERT(Policy.isNewer(Time.now(), Step / 2));
+    // A store that fails is not asked by all routers with each look.
+    Time.advance(2 * Bound);
+    Policy.failedAt(Time.now());
+    CPPUNIT_ASSERT(Policy.shouldRead(Time.now(), 0));
+    CPPUNIT_ASSERT(!Policy.shouldRead(Time.now(), NotAReader));
+    Time.advance(Bound / 2);
+    CPPUNIT_ASSERT(Policy.shouldRead(Time.now(), NotAReader));
   }
 
   // Guards against a withdrawn key accepted on the word of old datagrams.
--- a/tests/unit-dataplane-peers.cpp
+++ b/tests/unit-dataplane-peers.cpp
@@ -45,6 +45,8 @@
   CPPUNIT_TEST(silentRoutersAreNotOffered);
   CPPUNIT_TEST(cutOffRouterOffersTheRegisteredOnes);
   CPPUNIT_TEST(secondDigestTakesOverAfterAPause);
+  CPPUNIT_TEST(readingsMoveToARouterThatReachesTheStore);
+  CPPUNIT_TEST(digestsAtTheWrongRouterAreHandedOn);
   CPPUNIT_TEST(digestsGoToTheFirstTwoLiveRoutersOfAZone);
   CPPUNIT_TEST(foreignEntriesNameNoUpstream);
   CPPUNIT_TEST(configurationIsDecoded);
@@ -56,12 +58,14 @@
     PeerReport Report = reportOf(router("10.0.0.1", "a"), 9);
     Report.Members.push_back(
         {RouterId("10.0.0.2:7400"), "10.0.0.2:8080", true});
+    Report.StoreLost = true;
     Report.Proof = StateProof{77, Milliseconds(120), {{RouterId("x"), 3}}};
     const auto Read = decodeReport(encodeReport(Report));
     CPPUNIT_ASSERT(isOk(Read));
     const PeerReport &Back = valueOf(Read);
     CPPUNIT_ASSERT(Back.Sender == Report.Sender);
     CPPUNIT_ASSERT(Back.Zone == Report.Zone);
+    CPPUNIT_ASSERT(Back.StoreLost);
     CPPUNIT_ASSERT_EQUAL(std::size_t(1), Back.Members.size());
     CPPUNIT_ASSERT_EQUAL(300.0, Back.Loads.at(Engine).RecentWork);
     CPPUNIT_ASSERT_EQUAL(5.0, Back.Usage.at(WorkspaceKey(7)).Admitted);
@@ -171,6 +175,55 @@
     CPPUNIT_ASSERT(Peers.sums().Loads.empty());
   }
 
+  // Guards against a zone without readings because its first router alone has
+  // lost the store, and against all routers reading when all have lost it.
+  void readingsMoveToARouterThatReachesTheStore() {
+    ManualClock Time;
+    const RouterRecord One = router("10.0.0.1", "a");
+    const RouterRecord Two = router("10.0.0.2", "a");
+    PeerDirectory AtOne(One, Time);
+    PeerDirectory AtTwo(Two, Time);
+    const auto Tell = [&](bool OneLost, bool TwoLost, std::uint64_t Sequence) {
+      PeerReport FromOne = reportOf(One, Sequence);
+      FromOne.StoreLost = OneLost;
+      AtTwo.accept(FromOne);
+      PeerReport FromTwo = reportOf(Two, Sequence);
+      FromTwo.StoreLost = TwoLost;
+      AtOne.accept(FromTwo);
+    };
+    Tell(false, false, 1);
+    const bool OneIsFirst = AtOne.readerRank(false) == 0;
+    CPPUNIT_ASSERT(OneIsFirst != (AtTwo.readerRank(false) == 0));
+    Tell(true, false, 2);
+    CPPUNIT_ASSERT_EQUAL(std::size_t(1), AtOne.readerRank(true));
+    CPPUNIT_ASSERT_EQUAL(std::size_t(0), AtTwo.readerRank(false));
+    Tell(true, true, 3);
+    CPPUNIT_ASSERT_EQUAL(std::size_t(1),
+                         AtOne.readerRank(true) + AtTwo.readerRank(true));
+  }
+
+  // Guards against two zones that stay unknown to each other: the first router
+  // of each knew only one router of the other zone, which did not hand on.
+  void digestsAtTheWrongRouterAreHandedOn() {
+    ManualClock Time;
+    constexpr std::uint64_t Sequence = 7;
+    std::vector<RouterRecord> Zone;
+    for (int At = 1; At <= 4; ++At)
+      Zone.push_back(router("10.0.0." + std::to_string(At), "a"));
+    unsigned HandOn = 0;
+    unsigned Send = 0;
+    for (const RouterRecord &Self : Zone) {
+      PeerDirectory Peers(Self, Time);
+      for (const RouterRecord &Other : Zone)
+        Peers.accept(reportOf(Other, 1));
+      HandOn += Peers.handsOn(Sequence) ? 1 : 0;
+      Send += Peers.sendsDigest(Sequence) ? 1 : 0;
+    }
+    CPPUNIT_ASSERT_EQUAL(1U, Send);
+    // All but the second one, which is there for a first one that failed.
+    CPPUNIT_ASSERT_EQUAL(3U, HandOn);
+  }
+
   // Guards against bytes between zones that grow with the size of the zones,
   // and against digests sent only to routers that have failed.
   void digestsGoToTheFirstTwoLiveRoutersOfAZone() {
