Isolate requests that crash upstreams

Cause: the data plane repeated and took again any request whose upstream was lost, so a caller that comes back with the same request at any router could take one upstream after the other away.

Ruled out: counting interrupted runs alone.

Change: routers count, by caller, method, target and body, runs that ended with a lost connection and, for prints that have some, runs that finished. The tables are part of the reports. After three interrupted runs and none finished in 30 s a request is refused with 503 before it is sent, and is not repeated.

The proxy test fails without the check (the fourth request is sent).

--- a/include/mallowglade/dataplane.hpp
+++ b/include/mallowglade/dataplane.hpp
@@ -7,6 +7,7 @@
 #include <mallowglade/detail/dataplane/admission.hpp>
 #include <mallowglade/detail/dataplane/configuration.hpp>
 #include <mallowglade/detail/dataplane/control.hpp>
+#include <mallowglade/detail/dataplane/crash_history.hpp>
 #include <mallowglade/detail/dataplane/event_log.hpp>
 #include <mallowglade/detail/dataplane/fair_share.hpp>
 #include <mallowglade/detail/dataplane/fleet_state.hpp>
--- a/include/mallowglade/detail/dataplane/peer_message.hpp
+++ b/include/mallowglade/detail/dataplane/peer_message.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <mallowglade/detail/dataplane/crash_history.hpp>
 #include <mallowglade/detail/dataplane/fair_share.hpp>
 #include <mallowglade/detail/dataplane/upstream_table.hpp>
 
@@ -51,6 +52,7 @@
   std::optional<StateProof> Proof;
   LoadTable Loads;
   UsageTable Usage;
+  CrashTable Crashes;
 };
 
 /// @brief Encodes a report as MessagePack.
--- a/include/mallowglade/detail/dataplane/request_run.hpp
+++ b/include/mallowglade/detail/dataplane/request_run.hpp
@@ -21,7 +21,7 @@
 public:
   RequestRun(Traffic &Owner, std::shared_ptr<http1::ServerExchange> Exchange,
              RequestFacts Facts, std::shared_ptr<const Configuration> Config,
-             const Route &Of, WorkspaceId Workspace);
+             const Route &Of, WorkspaceId Workspace, RequestPrint Print);
 
   /// @brief Starts to wait for an upstream.
   void start();
@@ -61,6 +61,7 @@
   std::shared_ptr<const Configuration> Config;
   const Route &Of;
   WorkspaceId Workspace;
+  RequestPrint Print;
   TimePoint Deadline;
   asio::steady_timer DeadlineTimer;
   AttemptHistory History;
--- a/include/mallowglade/detail/dataplane/traffic.hpp
+++ b/include/mallowglade/detail/dataplane/traffic.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <mallowglade/detail/dataplane/admission.hpp>
+#include <mallowglade/detail/dataplane/crash_history.hpp>
 #include <mallowglade/detail/dataplane/event_log.hpp>
 #include <mallowglade/detail/dataplane/node_settings.hpp>
 #include <mallowglade/detail/dataplane/overload.hpp>
@@ -29,6 +30,7 @@
 struct PeerSums {
   LoadTable Loads;
   UsageTable Usage;
+  CrashTable Crashes;
   /// Sum of the routers' pace factors, and their number.
   double PaceSum = 0;
   double Routers = 0;
@@ -38,6 +40,7 @@
 struct TrafficReport {
   LoadTable Loads;
   UsageTable Usage;
+  CrashTable Crashes;
   std::size_t BusyConnections = 0;
   /// True while callers should be sent to other routers.
   bool Overloaded = false;
@@ -111,6 +114,7 @@
   FairShare Shares;
   Admission Queue;
   RetryAllowance Retries;
+  CrashHistory Crashes;
   ControlView View;
   TrafficCounters Counters;
   asio::steady_timer Ticker;
--- a/src/dataplane/control.cpp
+++ b/src/dataplane/control.cpp
@@ -236,6 +236,7 @@
   Report.PaceSum = OwnReport.Pace;
   Report.Loads = OwnReport.Loads;
   Report.Usage = OwnReport.Usage;
+  Report.Crashes = OwnReport.Crashes;
   const TimePoint Now = Time.now();
   SentAt.emplace(Sequence, Now);
   if (SentAt.size() > RememberedReports)
--- a/src/dataplane/peer_directory.cpp
+++ b/src/dataplane/peer_directory.cpp
@@ -43,6 +43,11 @@
   }
 }
 
+void addCrashes(CrashTable &To, const CrashTable &From) {
+  for (const auto &[Print, Runs] : From)
+    To[Print] += Runs;
+}
+
 void addLoads(LoadTable &To, const LoadTable &From) {
   for (const auto &[Key, Load] : From)
     To[Key] += Load;
@@ -179,6 +184,7 @@
     Own.PaceSum += Each.Last.PaceSum;
     addLoads(Own.Loads, Each.Last.Loads);
     addUsage(Own.Usage, Each.Last.Usage);
+    addCrashes(Own.Crashes, Each.Last.Crashes);
   }
   // Receivers in other zones are not heard, so they cannot date a proof.
   if (Own.Proof)
@@ -254,6 +260,7 @@
     Sum.Routers += 1;
     addLoads(Sum.Loads, Each.Last.Loads);
     addUsage(Sum.Usage, Each.Last.Usage);
+    addCrashes(Sum.Crashes, Each.Last.Crashes);
   }
   for (const auto &[Zone, Each] : Digests) {
     if (Time.now() - Each.HeardAt >= DigestLifetime)
@@ -262,6 +269,7 @@
     Sum.Routers += static_cast<double>(Each.Last.Members.size());
     addLoads(Sum.Loads, Each.Last.Loads);
     addUsage(Sum.Usage, Each.Last.Usage);
+    addCrashes(Sum.Crashes, Each.Last.Crashes);
   }
   return Sum;
 }
--- a/src/dataplane/peer_message.cpp
+++ b/src/dataplane/peer_message.cpp
@@ -18,6 +18,7 @@
 using LoadRow = std::tuple<std::uint64_t, std::uint32_t, std::uint32_t,
                            std::uint32_t, std::uint32_t>;
 using UsageRow = std::tuple<std::uint64_t, std::uint32_t, std::uint32_t>;
+using CrashRow = std::tuple<std::uint64_t, std::uint32_t, std::uint32_t>;
 using HeardRow = std::tuple<std::string, std::uint64_t>;
 using ProofRow =
     std::tuple<std::uint64_t, std::uint32_t, std::vector<HeardRow>>;
@@ -26,7 +27,7 @@
     std::tuple<unsigned, std::string, std::uint64_t, std::uint64_t, std::string,
                bool, std::uint64_t, std::vector<LoadRow>, std::vector<UsageRow>,
                std::vector<ProofRow>, std::string, std::vector<MemberRow>,
-               double, bool>;
+               double, bool, std::vector<CrashRow>>;
 
 std::uint32_t whole(double Value) {
   constexpr double Most = 4e9;
@@ -39,7 +40,7 @@
 std::string encodeReport(const PeerReport &Report) {
   Layout Out;
   auto &[Format, Sender, Incarnation, Sequence, Address, Ready, Version, Loads,
-         Usage, Proofs, Zone, Members, Pace, StoreLost] = Out;
+         Usage, Proofs, Zone, Members, Pace, StoreLost, Crashes] = Out;
   Format = FormatVersion;
   Sender = Report.Sender.Value;
   Incarnation = Report.Incarnation;
@@ -55,6 +56,8 @@
   Zone = Report.Zone.Value;
   Pace = Report.PaceSum;
   StoreLost = Report.StoreLost;
+  for (const auto &[Print, Runs] : Report.Crashes)
+    Crashes.emplace_back(Print.Value, Runs.Interrupted, Runs.Finished);
   for (const ZoneMember &Each : Report.Members)
     Members.emplace_back(Each.Id.Value, Each.CallerAddress, Each.Ready);
   if (Report.Proof) {
@@ -78,7 +81,8 @@
     Layout In;
     Handle.get().convert(In);
     const auto &[Format, Sender, Incarnation, Sequence, Address, Ready, Version,
-                 Loads, Usage, Proofs, Zone, Members, Pace, StoreLost] = In;
+                 Loads, Usage, Proofs, Zone, Members, Pace, StoreLost,
+                 Crashes] = In;
     if (Format != FormatVersion || Sender.empty())
       return Error{
           ErrorId::InvalidMessage, "unknown format of a peer report", {}};
@@ -97,6 +101,8 @@
     Report.Zone = ZoneId(Zone);
     Report.PaceSum = Pace;
     Report.StoreLost = StoreLost;
+    for (const auto &[Print, Interrupted, Finished] : Crashes)
+      Report.Crashes[RequestPrint(Print)] = {Interrupted, Finished};
     for (const auto &[Id, Callers, MemberReady] : Members)
       Report.Members.push_back({RouterId(Id), Callers, MemberReady});
     for (const auto &[Fingerprint, Age, Heard] : Proofs) {
--- a/src/dataplane/request_run.cpp
+++ b/src/dataplane/request_run.cpp
@@ -35,10 +35,11 @@
                        std::shared_ptr<http1::ServerExchange> Exchange,
                        RequestFacts Facts,
                        std::shared_ptr<const Configuration> Config,
-                       const Route &Of, WorkspaceId Workspace)
+                       const Route &Of, WorkspaceId Workspace,
+                       RequestPrint Print)
     : Owner(Owner), Exchange(std::move(Exchange)), Facts(std::move(Facts)),
       Config(std::move(Config)), Of(Of), Workspace(std::move(Workspace)),
-      DeadlineTimer(Owner.Context) {}
+      Print(Print), DeadlineTimer(Owner.Context) {}
 
 void RequestRun::start() {
   Arrived = Owner.Time.now();
@@ -259,6 +260,7 @@
   }
   endAttempt(true);
   Owner.Upstreams.answered(Target.Id);
+  Owner.Crashes.finished(Print);
   if (Reading == Mode::Collecting) {
     Exchange->OnGone = nullptr;
     Exchange->respond(Head.Status, answerFields(Head), Collected);
@@ -283,6 +285,8 @@
     return;
   }
   Owner.Upstreams.failed(Target.Id);
+  if (Failure == http1::ExchangeFailure::Interrupted)
+    Owner.Crashes.interrupted(Print);
   retryOrFail(AttemptFailure::Interrupted,
               Failure == http1::ExchangeFailure::Malformed ? "answer_malformed"
                                                            : "connection_lost");
@@ -316,7 +320,8 @@
   }
   const bool EventsSent = Relayed;
   const bool MayRepeat =
-      EventsSent ? Of.Resumable && !Events.lastEventId().empty() : true;
+      (EventsSent ? Of.Resumable && !Events.lastEventId().empty() : true) &&
+      !Owner.Crashes.isolated(Print);
   History.BudgetLeft = MayRepeat && timeLeft().count() > 0 &&
                        (Failure == AttemptFailure::NotHandedOver ||
                         Owner.Retries.take(Query.Service));
--- a/src/dataplane/traffic.cpp
+++ b/src/dataplane/traffic.cpp
@@ -76,7 +76,7 @@
       Pool(Context, Wire.attemptHeader(), Timeouts), Upstreams(Time),
       Places(Upstreams, Time, Random, Settings.Zone, Settings.Placing),
       Shares(Time), Queue(Places, Shares, Time, Random),
-      Retries(Settings.Retries, Time), Ticker(Context) {}
+      Retries(Settings.Retries, Time), Crashes(Time), Ticker(Context) {}
 
 Traffic::~Traffic() = default;
 
@@ -124,6 +124,7 @@
 void Traffic::applyPeers(const PeerSums &Sums) {
   Upstreams.setPeers(Sums.Loads);
   Shares.setPeers(Sums.Usage);
+  Crashes.setPeers(Sums.Crashes);
   Places.pace().setPeers(Sums.PaceSum, Sums.Routers);
   if (View.Config)
     Shares.update(View.Config->Limits.TokensPerSecond);
@@ -131,8 +132,12 @@
 }
 
 TrafficReport Traffic::report() {
-  return {Upstreams.ownLoads(), Shares.ownUsage(), Server.busyConnections(),
-          Overload.shunned(Time.now()), Places.pace().own()};
+  return {Upstreams.ownLoads(),
+          Shares.ownUsage(),
+          Crashes.own(),
+          Server.busyConnections(),
+          Overload.shunned(Time.now()),
+          Places.pace().own()};
 }
 
 void Traffic::drain() {
@@ -235,8 +240,14 @@
     refuseAtOnce(*Exchange, 503, "router_overloaded", Facts.Attempt);
     return;
   }
+  const RequestPrint Print = printOf(Workspace.Value, Exchange->Head.Method,
+                                     Exchange->Head.Target, Exchange->Body);
+  if (Crashes.isolated(Print)) {
+    refuseAtOnce(*Exchange, 503, "crashes_upstreams", Facts.Attempt);
+    return;
+  }
   const auto Run = std::make_shared<RequestRun>(
-      *this, Exchange, std::move(Facts), View.Config, *Of, Workspace);
+      *this, Exchange, std::move(Facts), View.Config, *Of, Workspace, Print);
   Run->start();
 }
 
--- a/tests/unit-dataplane-decisions.cpp
+++ b/tests/unit-dataplane-decisions.cpp
@@ -146,6 +146,8 @@
   CPPUNIT_TEST(unconfirmedStateIsReadInTime);
   CPPUNIT_TEST(delayedReportsProveNothing);
   CPPUNIT_TEST(overloadedRouterIsNotOffered);
+  CPPUNIT_TEST(requestThatCrashesUpstreamsIsIsolated);
+  CPPUNIT_TEST(requestThatAlsoFinishesIsNotIsolated);
   CPPUNIT_TEST(repeatsOfTheWholeFleetStayWithinTheBudget);
   CPPUNIT_TEST_SUITE_END();
 
@@ -509,6 +511,48 @@
     });
     CPPUNIT_ASSERT(Holds);
   }
+
+  // Guards against a request that takes one upstream after the other away: its
+  // caller sends it to a different router each time.
+  void requestThatCrashesUpstreamsIsIsolated() {
+    ManualClock Time;
+    const RequestPrint Print = printOf("desk", "POST", "/chat/1", "body");
+    const RequestPrint Other = printOf("desk", "POST", "/chat/1", "bodz");
+    CrashHistory First(Time);
+    CrashHistory Second(Time);
+    First.interrupted(Print);
+    First.interrupted(Print);
+    CPPUNIT_ASSERT(!First.isolated(Print));
+    Second.setPeers(First.own());
+    Second.interrupted(Print);
+    First.setPeers(Second.own());
+    CPPUNIT_ASSERT(First.isolated(Print) && Second.isolated(Print));
+    CPPUNIT_ASSERT(!First.isolated(Other) && !Second.isolated(Other));
+    // The table stays bounded, and a crash of many requests leaves it there.
+    for (std::uint64_t At = 0; At < 10 * CrashHistory::MostPrints; ++At)
+      First.interrupted(RequestPrint(At));
+    CPPUNIT_ASSERT(First.own().size() <= CrashHistory::MostPrints);
+    CPPUNIT_ASSERT(First.isolated(Print));
+    Time.advance(CrashHistory::RememberFor + Milliseconds(1));
+    First.setPeers(Second.own());
+    CPPUNIT_ASSERT(!First.isolated(Print));
+  }
+
+  // Guards against refusing a common request because upstreams crashed while
+  // it ran beside the cause.
+  void requestThatAlsoFinishesIsNotIsolated() {
+    ManualClock Time;
+    const RequestPrint Print = printOf("desk", "GET", "/status", "");
+    CrashHistory First(Time);
+    CrashHistory Second(Time);
+    for (int At = 0; At < 5; ++At)
+      First.interrupted(Print);
+    Second.setPeers(First.own());
+    CPPUNIT_ASSERT(Second.isolated(Print));
+    Second.finished(Print);
+    First.setPeers(Second.own());
+    CPPUNIT_ASSERT(!First.isolated(Print) && !Second.isolated(Print));
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(DataplaneDecisionsTest);
--- a/tests/unit-dataplane-peers.cpp
+++ b/tests/unit-dataplane-peers.cpp
@@ -59,6 +59,7 @@
     Report.Members.push_back(
         {RouterId("10.0.0.2:7400"), "10.0.0.2:8080", true});
     Report.StoreLost = true;
+    Report.Crashes[RequestPrint(5)] = {2, 1};
     Report.Proof = StateProof{77, Milliseconds(120), {{RouterId("x"), 3}}};
     const auto Read = decodeReport(encodeReport(Report));
     CPPUNIT_ASSERT(isOk(Read));
@@ -66,6 +67,8 @@
     CPPUNIT_ASSERT(Back.Sender == Report.Sender);
     CPPUNIT_ASSERT(Back.Zone == Report.Zone);
     CPPUNIT_ASSERT(Back.StoreLost);
+    CPPUNIT_ASSERT_EQUAL(2U, Back.Crashes.at(RequestPrint(5)).Interrupted);
+    CPPUNIT_ASSERT_EQUAL(1U, Back.Crashes.at(RequestPrint(5)).Finished);
     CPPUNIT_ASSERT_EQUAL(std::size_t(1), Back.Members.size());
     CPPUNIT_ASSERT_EQUAL(300.0, Back.Loads.at(Engine).RecentWork);
     CPPUNIT_ASSERT_EQUAL(5.0, Back.Usage.at(WorkspaceKey(7)).Admitted);
--- a/tests/unit-dataplane-proxy.cpp
+++ b/tests/unit-dataplane-proxy.cpp
@@ -39,6 +39,7 @@
   CPPUNIT_TEST(unknownRouteAndKeyAreRejected);
   CPPUNIT_TEST(refusedRequestGoesToAnotherUpstream);
   CPPUNIT_TEST(interruptedNonIdempotentRequestIsNotRepeated);
+  CPPUNIT_TEST(requestThatCrashesUpstreamsIsRefused);
   CPPUNIT_TEST(truncatedAnswerIsRepeatedIfIdempotent);
   CPPUNIT_TEST(unsignedSuccessIsNotPassedOn);
   CPPUNIT_TEST(lateSecondAnswerBelongsToNobody);
@@ -141,6 +142,35 @@
     CPPUNIT_ASSERT_EQUAL(std::size_t(1), W.arrivals());
   }
 
+  // Guards against a request that is sent to one upstream after the other and
+  // takes all of them away; a refusal has to mean that it has not run.
+  void requestThatCrashesUpstreamsIsRefused() {
+    constexpr std::size_t Crashes =
+        mallowglade::dataplane::CrashHistory::MostCrashes;
+    World W(2 * Crashes);
+    W.OnRequest = [&W](UpstreamSession &Session, const std::string &Request) {
+      if (contains(Request, "harmless"))
+        Session.send(World::answer("other", "fine"));
+      else
+        Session.reset();
+    };
+    for (std::size_t At = 1; At <= Crashes + 1; ++At) {
+      const auto Caller = W.connect();
+      W.sendFrom(Caller, World::request("POST", "/unsafe/x",
+                                        "r" + std::to_string(At), "", "body"));
+      const std::string Status = At <= Crashes ? "502" : "503";
+      CPPUNIT_ASSERT(W.until([&] {
+        return W.received(Caller).starts_with("HTTP/1.1 " + Status);
+      }));
+    }
+    CPPUNIT_ASSERT_EQUAL(Crashes, W.arrivals());
+    const auto Other = W.connect();
+    W.sendFrom(Other,
+               World::request("POST", "/unsafe/x", "other", "", "harmless"));
+    CPPUNIT_ASSERT(
+        W.until([&] { return contains(W.received(Other), "fine"); }));
+  }
+
   // Guards against a truncated body that is passed on as complete.
   void truncatedAnswerIsRepeatedIfIdempotent() {
     World W(2);
