Add a fault soak of the data plane

Cause: promises were tested one at a time with scripted faults; nothing played faults in series and overlapping against whole processes.

Change: `soak SEED SECONDS` starts routers, replicas, store and a proxy as processes, injects faults in an order that the seed fixes and checks answers, runs, refusals, times and recovery from outside. The stand-in platform serves changes of the store and resumed streams.

The fault proxy computed a negative length when a limit was set on a connection that was already past it and sent what lay behind its buffer.

--- /dev/null
+++ b/tests/integration/soak.cpp
@@ -0,0 +1,424 @@
+// Runs a small deployment as separate processes, injects faults from outside
+// and checks what callers and upstreams see.
+//
+// Usage: soak SEED SECONDS
+// The seed fixes the order and size of the faults and what callers ask; the
+// timing of processes is real. Exits with 1 and prints each finding if a
+// promise was broken; logs are kept then.
+
+#include <fleet.hpp>
+
+#include <fmt/format.h>
+
+#include <atomic>
+#include <csignal>
+#include <cstdlib>
+#include <filesystem>
+#include <fstream>
+#include <random>
+#include <set>
+#include <thread>
+
+#include <unistd.h>
+
+using fleet::json;
+using std::chrono::milliseconds;
+
+namespace {
+
+constexpr int Routers = 3;
+constexpr int Replicas = 6;
+constexpr int Callers = 12;
+constexpr int StreamEvents = 10;
+constexpr milliseconds CallerDeadline{4'000};
+constexpr milliseconds LongestPause{1'500};
+/// Answers come by the deadline; pauses of a process and the proxy's delays,
+/// twice for a repeat, are added.
+constexpr milliseconds AnswerBound = CallerDeadline + 2 * LongestPause;
+/// Time after the last fault within which every router serves again: the
+/// longest connection time-out and a reading of the store.
+constexpr milliseconds RecoveryBound{6'000};
+/// Ports of one run, below the range for outgoing connections.
+constexpr int FirstPort = 24'000;
+constexpr int PortsPerRun = 100;
+constexpr int Runs = 80;
+/// Ports that replicas register are those of the proxy.
+constexpr int ProxyOffset = 20;
+
+std::string binary(const std::string &Name) {
+  const char *Directory = std::getenv("MALLOWGLADE_BIN_DIR");
+  return std::string(Directory != nullptr ? Directory : "build/release") + "/" +
+         Name;
+}
+
+std::string local(int Port) { return fmt::format("127.0.0.1:{}", Port); }
+
+/// What was found; shared by all threads.
+class Findings {
+public:
+  void add(const std::string &What) {
+    const std::lock_guard<std::mutex> Lock(Mutex);
+    constexpr std::size_t MostPrinted = 20;
+    if (++Count <= MostPrinted)
+      fmt::print("finding: {}\n", What);
+  }
+  std::size_t count() const { return Count; }
+
+private:
+  std::mutex Mutex;
+  std::size_t Count = 0;
+};
+
+/// The processes of a run.
+class Deployment {
+public:
+  explicit Deployment(const std::filesystem::path &Directory)
+      : Directory(Directory),
+        Base(FirstPort + ::getpid() % Runs * PortsPerRun) {
+    std::filesystem::create_directories(Directory);
+    json Routes{{"store", route(storePort())}};
+    for (int At = 0; At < Replicas; ++At)
+      Routes[replicaName(At)] = route(replicaPort(At));
+    const std::string File = (Directory / "proxy.json").string();
+    std::ofstream(File) << json{
+        {"control", local(proxyPort())},
+        {"routes", Routes}}.dump();
+    Platform =
+        start("platform",
+              {binary("tests/standin-model-fleet"), std::to_string(storePort()),
+               std::to_string(replicaPort(0)), std::to_string(Replicas),
+               std::to_string(ProxyOffset)});
+    Proxy = start("proxy", {binary("tests/fault-proxy"), File});
+    for (int Router = 0; Router < Routers; ++Router)
+      startRouter(Router);
+  }
+
+  void startRouter(int Router) {
+    const int Port = routerPort(Router);
+    const json Settings{
+        {"name", fmt::format("router-{}", Router)},
+        {"availability_zone", Router == 0 ? "zone-a" : "zone-b"},
+        {"store", local(storePort() + ProxyOffset)},
+        {"credential_freshness_ms", 5000},
+        {"state_freshness_ms", 2000},
+        {"stop_grace_s", 8},
+        {"max_address_ttl_s", 5},
+        {"listen",
+         {{"callers", local(Port)},
+          {"readiness", local(Port + 1)},
+          {"addresses", local(Port + 2)}}},
+        {"peers", {{"ip", "127.0.0.1"}, {"first_port", Port + 3}}},
+        {"retries", {{"ratio", 0.2}, {"slack", 56}, {"window_s", 10}}},
+        {"limits", {{"memory_mb", 110}, {"descriptors", 4100}}}};
+    const std::string File =
+        (Directory / fmt::format("router-{}.json", Router)).string();
+    std::ofstream(File) << Settings.dump();
+    Nodes[Router] = start(fmt::format("router-{}-{}", Router, ++Starts),
+                          {binary("mallowglade"), "node", "--settings", File});
+  }
+
+  void control(const json &Order) const {
+    httplib::Client("127.0.0.1", storePort())
+        .Post("/control", Order.dump(), "application/json");
+  }
+  void fault(const std::string &Route, const json &Change) const {
+    httplib::Client("127.0.0.1", proxyPort())
+        .Post("/routes/" + Route, Change.dump(), "application/json");
+  }
+  json runs() const {
+    const auto Answer = httplib::Client("127.0.0.1", storePort()).Get("/runs");
+    return Answer ? json::parse(Answer->body) : json();
+  }
+  int routerPort(int Router) const { return Base + 50 + 10 * Router; }
+  static std::string replicaName(int At) {
+    return fmt::format("replica-{}", At);
+  }
+
+  std::array<std::unique_ptr<fleet::Process>, Routers> Nodes;
+
+private:
+  int storePort() const { return Base; }
+  int replicaPort(int At) const { return Base + 1 + At; }
+  int proxyPort() const { return Base + 2 * ProxyOffset; }
+  static json route(int Port) {
+    return {{"listen", local(Port + ProxyOffset)}, {"target", local(Port)}};
+  }
+  std::unique_ptr<fleet::Process>
+  start(const std::string &Name, const std::vector<std::string> &Command) {
+    return std::make_unique<fleet::Process>(
+        Command, (Directory / (Name + ".log")).string());
+  }
+
+  std::filesystem::path Directory;
+  int Base;
+  int Starts = 0;
+  std::unique_ptr<fleet::Process> Platform;
+  std::unique_ptr<fleet::Process> Proxy;
+};
+
+/// Sends requests on kept connections and checks each answer.
+class Caller {
+public:
+  Caller(const Deployment &Of, Findings &Found, int Number, std::uint64_t Seed)
+      : Of(Of), Found(Found), Number(Number), Random(Seed) {}
+
+  void run(const std::atomic<bool> &Stop) {
+    while (!Stop)
+      request(static_cast<int>(Random() % Routers));
+  }
+
+  /// @return status; 0 without an answer
+  int request(int Router) {
+    enum Kind { Safe, Unsafe, Stream, Kinds };
+    const auto Of = static_cast<Kind>(Random() % Kinds);
+    const std::string Id = fmt::format("c{}-{}", Number, ++Sent);
+    httplib::Client &Client = connection(Router);
+    const httplib::Headers Headers{
+        {"Host", "api.example"},
+        {"Mallowglade-Attempt-Id", Id},
+        {"Mallowglade-Deadline-Ms", std::to_string(CallerDeadline.count())},
+        {"Authorization", "Bearer key"}};
+    const auto Start = std::chrono::steady_clock::now();
+    httplib::Result Answer =
+        Of == Safe ? Client.Get("/safe/x", Headers)
+                   : Client.Post(Of == Unsafe ? "/unsafe/x" : "/stream/x",
+                                 Headers, Id, "text/plain");
+    const auto Took = std::chrono::duration_cast<milliseconds>(
+        std::chrono::steady_clock::now() - Start);
+    if (Of == Unsafe)
+      OnceOnly.insert(Id);
+    All.insert(Id);
+    if (Took > AnswerBound)
+      Found.add(fmt::format("{}: no answer for {} ms", Id, Took.count()));
+    if (!Answer) {
+      Clients[Router].reset();
+      return 0;
+    }
+    check(Id, *Answer, Of == Stream);
+    return Answer->status;
+  }
+
+  std::set<std::string> All;
+  std::set<std::string> OnceOnly;
+  /// Requests that were refused with the promise that they never run.
+  std::set<std::string> Refused;
+  std::size_t Served = 0;
+
+private:
+  httplib::Client &connection(int Router) {
+    auto &Client = Clients[Router];
+    if (!Client) {
+      Client =
+          std::make_unique<httplib::Client>("127.0.0.1", Of.routerPort(Router));
+      Client->set_keep_alive(true);
+      Client->set_connection_timeout(std::chrono::seconds(1));
+      Client->set_read_timeout(AnswerBound + milliseconds(500));
+    }
+    return *Client;
+  }
+
+  void check(const std::string &Id, const httplib::Response &Answer,
+             bool Streams) {
+    if (Answer.status == 429 || Answer.status == 503) {
+      Refused.insert(Id);
+      return;
+    }
+    if (Answer.status >= 400 && Answer.status < 500)
+      Found.add(fmt::format("{}: a proper request got {}", Id, Answer.status));
+    if (Answer.status != 200)
+      return;
+    ++Served;
+    std::string Expected = "answer-" + Id;
+    if (Streams) {
+      Expected.clear();
+      for (int Event = 1; Event <= StreamEvents; ++Event)
+        Expected += fmt::format("id: {}\ndata: e{}\n\n", Event, Event);
+    }
+    if (Answer.body != Expected)
+      Found.add(
+          fmt::format("{}: the answer is not the upstream's: {} bytes, {:?}",
+                      Id, Answer.body.size(), Answer.body));
+    if (Answer.get_header_value("Mallowglade-Replica-Signature") !=
+        "signed-" + Id)
+      Found.add(fmt::format("{}: a success with another signature", Id));
+  }
+
+  const Deployment &Of;
+  Findings &Found;
+  int Number;
+  std::mt19937_64 Random;
+  unsigned Sent = 0;
+  std::array<std::unique_ptr<httplib::Client>, Routers> Clients;
+};
+
+/// Injects one fault after the other; several may be in force.
+class Faults {
+public:
+  Faults(Deployment &Of, Findings &Found, std::uint64_t Seed)
+      : Of(Of), Found(Found), Random(Seed) {}
+
+  void step() {
+    constexpr std::uint64_t Kinds = 11;
+    const int Router = static_cast<int>(below(Routers));
+    const std::string Replica =
+        Deployment::replicaName(static_cast<int>(below(Replicas)));
+    switch (below(Kinds)) {
+    case 0:
+      Of.Nodes[Router]->kill();
+      Of.startRouter(Router);
+      break;
+    case 1:
+      Of.Nodes[Router]->signal(SIGTERM);
+      if (Of.Nodes[Router]->wait() != 0)
+        Found.add(fmt::format("router {} did not stop as planned", Router));
+      Of.startRouter(Router);
+      break;
+    case 2:
+      Of.Nodes[Router]->signal(SIGSTOP);
+      std::this_thread::sleep_for(upTo(LongestPause));
+      Of.Nodes[Router]->signal(SIGCONT);
+      break;
+    case 3:
+      Of.Nodes[Router]->signal(SIGHUP);
+      break;
+    case 4:
+      Of.fault(Replica, {{"delay_ms", below(200)}});
+      break;
+    case 5:
+      Of.fault(Replica, {{"drop_new", true}});
+      break;
+    case 6:
+      Of.fault(Replica, {{"cut_after", 200 + below(2'000)}});
+      break;
+    case 7:
+      Of.fault(below(3) == 0 ? "store" : Replica, {{"silence", true}});
+      break;
+    case 8:
+      Of.fault(Replica, {{"lose_replies", true}});
+      break;
+    case 9:
+      Of.control({{"down", true}});
+      break;
+    default:
+      // A second key comes and goes; the callers' key stays.
+      Of.control({{"keys", {"key", fmt::format("key-{}", below(9))}}});
+      break;
+    }
+    std::this_thread::sleep_for(upTo(milliseconds(600)));
+    if (below(2) == 0)
+      mend();
+  }
+
+  /// Ends all faults that last.
+  void mend() {
+    Of.control({{"down", false}});
+    for (int At = 0; At < Replicas; ++At)
+      Of.fault(Deployment::replicaName(At),
+               {{"delay_ms", 0}, {"drop_new", false}, {"lose_replies", false}});
+  }
+
+private:
+  std::uint64_t below(std::uint64_t Bound) { return Random() % Bound; }
+  milliseconds upTo(milliseconds Most) {
+    return milliseconds(below(static_cast<std::uint64_t>(Most.count())));
+  }
+
+  Deployment &Of;
+  Findings &Found;
+  std::mt19937_64 Random;
+};
+
+/// Waits until a router serves requests of all kinds.
+bool serves(Caller &By, int Router, milliseconds Limit) {
+  constexpr int InARow = 12;
+  int Good = 0;
+  return fleet::waitUntil(
+      [&] {
+        Good = By.request(Router) == 200 ? Good + 1 : 0;
+        return Good >= InARow;
+      },
+      Limit);
+}
+
+void checkRuns(const json &Runs, const std::vector<std::unique_ptr<Caller>> &By,
+               Findings &Found) {
+  std::set<std::string> All;
+  for (const auto &Each : By) {
+    All.insert(Each->All.begin(), Each->All.end());
+    for (const std::string &Id : Each->OnceOnly)
+      if (Runs.value(Id, 0) > 1)
+        Found.add(fmt::format("{}: ran {} times", Id, Runs[Id].get<int>()));
+    for (const std::string &Id : Each->Refused)
+      if (Each->OnceOnly.contains(Id) && Runs.value(Id, 0) > 0)
+        Found.add(fmt::format("{}: refused though it ran", Id));
+  }
+  for (const auto &[Id, Count] : Runs.items())
+    if (!All.contains(Id))
+      Found.add(fmt::format("{}: ran and was never sent", Id));
+}
+
+std::size_t soak(std::uint64_t Seed, std::chrono::seconds Span,
+                 const std::filesystem::path &Directory) {
+  Findings Found;
+  Deployment Fleet(Directory);
+  Caller Prober(Fleet, Found, Callers, Seed);
+  for (int Router = 0; Router < Routers; ++Router)
+    if (!serves(Prober, Router, 2 * RecoveryBound))
+      Found.add(
+          fmt::format("router {} does not serve after the start", Router));
+  std::vector<std::unique_ptr<Caller>> By;
+  std::vector<std::thread> Threads;
+  std::atomic<bool> Stop{false};
+  for (int Number = 0; Number < Callers; ++Number) {
+    By.push_back(std::make_unique<Caller>(Fleet, Found, Number, Seed + Number));
+    Threads.emplace_back([&Stop, Each = By.back().get()] { Each->run(Stop); });
+  }
+  Faults Injector(Fleet, Found, Seed);
+  const auto End = std::chrono::steady_clock::now() + Span;
+  while (std::chrono::steady_clock::now() < End)
+    Injector.step();
+  Injector.mend();
+  for (int Router = 0; Router < Routers; ++Router)
+    if (!serves(Prober, Router, RecoveryBound))
+      Found.add(fmt::format("router {} does not recover", Router));
+  Stop = true;
+  for (std::thread &Each : Threads)
+    Each.join();
+  for (int Router = 0; Router < Routers; ++Router)
+    if (Fleet.Nodes[Router]->ended())
+      Found.add(fmt::format("router {} ended by itself", Router));
+  std::size_t Sent = 0;
+  std::size_t Served = 0;
+  for (const auto &Each : By) {
+    Sent += Each->All.size();
+    Served += Each->Served;
+  }
+  By.push_back(std::make_unique<Caller>(std::move(Prober)));
+  checkRuns(Fleet.runs(), By, Found);
+  if (Served == 0)
+    Found.add("no request was served");
+  fmt::print("seed {}: {} requests, {} served, {} findings\n", Seed, Sent,
+             Served, Found.count());
+  return Found.count();
+}
+
+} // namespace
+
+int main(int Count, char **Arguments) {
+  if (Count != 3) {
+    fmt::print(stderr, "usage: soak SEED SECONDS\n");
+    return 2;
+  }
+  const std::uint64_t Seed = std::strtoull(Arguments[1], nullptr, 10);
+  const std::filesystem::path Directory =
+      std::filesystem::temp_directory_path() /
+      fmt::format("mallowglade-soak-{}-{}", Seed, ::getpid());
+  if (soak(Seed, std::chrono::seconds(std::atoi(Arguments[2])), Directory) >
+      0) {
+    fmt::print("logs are in {}\n", Directory.string());
+    return 1;
+  }
+  std::error_code Ignored;
+  std::filesystem::remove_all(Directory, Ignored);
+  return 0;
+}
--- a/tests/standins/fault-proxy.cpp
+++ b/tests/standins/fault-proxy.cpp
@@ -23,6 +23,7 @@
 #include <httplib.h>
 #include <nlohmann/json.hpp>
 
+#include <algorithm>
 #include <fstream>
 #include <future>
 #include <list>
@@ -152,7 +153,10 @@
     ToClient += static_cast<long>(Next.Size);
     if (!Through.Set.CutAfter || ToClient < *Through.Set.CutAfter)
       return false;
-    Next.Size -= static_cast<std::size_t>(ToClient - *Through.Set.CutAfter);
+    // A connection that is past the limit already passes nothing more.
+    const auto Beyond =
+        static_cast<std::size_t>(ToClient - *Through.Set.CutAfter);
+    Next.Size -= std::min(Next.Size, Beyond);
     Through.Set.CutAfter.reset();
     return true;
   }
--- a/tests/standins/standin-model-fleet.cpp
+++ b/tests/standins/standin-model-fleet.cpp
@@ -1,12 +1,14 @@
 // Stand-in for the platform that the data plane runs on, in one process.
 //
-// Usage: standin-model-fleet STORE_PORT FIRST_REPLICA_PORT REPLICAS
-// Store on 127.0.0.1:STORE_PORT: kv-range, kv-lease, kv-keep, kv-lease-end and
-// kv-txn. Replicas on the following ports register themselves there.
+// Usage: standin-model-fleet STORE_PORT FIRST_REPLICA_PORT REPLICAS [OFFSET]
+// Store on 127.0.0.1:STORE_PORT: kv-range, kv-watch, kv-lease, kv-keep,
+// kv-lease-end and kv-txn. Replicas on the following ports register themselves
+// there; OFFSET is added to the ports that they register.
 // POST /control with a JSON object steers it:
 //   {"keys": [...]}        the workspace's keys; a new configuration version
 //   {"down": true}         the store answers 503
 //   {"leaving": N}         replica N reports that it leaves
+//   {"back": N}            replica N reports that it is ready
 // GET /runs returns how often each attempt id has run.
 
 #include <mallowglade/detail/platform/base64.hpp>
@@ -38,6 +40,16 @@
   void put(const std::string &Key, const json &Value, long Lease = 0) {
     const std::lock_guard<std::mutex> Lock(Mutex);
     Entries[Key] = {Value.dump(), ++Revision, Lease};
+    History.push_back(item(Key, Entries[Key]));
+  }
+
+  json changes(long After) {
+    const std::lock_guard<std::mutex> Lock(Mutex);
+    json List = json::array();
+    for (const json &Each : History)
+      if (Each.at("revision").get<long>() > After)
+        List.push_back(Each);
+    return {{"events", List}, {"at", Revision}};
   }
 
   json range(const std::string &Prefix) {
@@ -45,12 +57,7 @@
     json List = json::array();
     for (const auto &[Key, Each] : Entries)
       if (Key.starts_with(Prefix))
-        List.push_back(
-            {{"key", Key},
-             {"value", mallowglade::detail::encodeBase64(Each.Value)},
-             {"revision", Each.Revision},
-             {"created", Each.Revision},
-             {"lease", Each.Lease}});
+        List.push_back(item(Key, Each));
     return {{"entries", List}, {"has_more", false}, {"at", Revision}};
   }
 
@@ -61,16 +68,29 @@
 
   void end(long Lease) {
     const std::lock_guard<std::mutex> Lock(Mutex);
-    std::erase_if(Entries, [Lease](const auto &Pair) {
-      return Pair.second.Lease == Lease;
+    std::erase_if(Entries, [this, Lease](const auto &Pair) {
+      if (Pair.second.Lease != Lease)
+        return false;
+      History.push_back(
+          {{"key", Pair.first}, {"revision", ++Revision}, {"deleted", true}});
+      return true;
     });
   }
 
   std::atomic<bool> Down{false};
 
 private:
+  static json item(const std::string &Key, const Entry &Of) {
+    return {{"key", Key},
+            {"value", mallowglade::detail::encodeBase64(Of.Value)},
+            {"revision", Of.Revision},
+            {"created", Of.Revision},
+            {"lease", Of.Lease}};
+  }
+
   std::mutex Mutex;
   std::map<std::string, Entry> Entries;
+  std::vector<json> History;
   long Revision = 0;
   long LastLease = 0;
 };
@@ -106,18 +126,20 @@
 
 class Replicas {
 public:
-  Replicas(Store &Registry, int FirstPort, int Count) : Registry(Registry) {
+  Replicas(Store &Registry, int FirstPort, int Count, int Offset)
+      : Registry(Registry), Offset(Offset) {
     for (int At = 0; At < Count; ++At)
       start(At, FirstPort + At);
   }
 
   void report(int Number, const char *State) {
-    Registry.put("servers/i-" + std::to_string(Number),
-                 {{"service", "pool"},
-                  {"address", "127.0.0.1:" + std::to_string(Ports[Number])},
-                  {"zone", "zone-a"},
-                  {"slots", 8},
-                  {"state", State}});
+    Registry.put(
+        "servers/i-" + std::to_string(Number),
+        {{"service", "pool"},
+         {"address", "127.0.0.1:" + std::to_string(Ports[Number] + Offset)},
+         {"zone", "zone-a"},
+         {"slots", 8},
+         {"state", State}});
   }
 
   json runs() {
@@ -129,6 +151,8 @@
   void start(int Number, int Port) {
     Ports[Number] = Port;
     auto Server = std::make_shared<httplib::Server>();
+    // Each open connection holds a thread.
+    Server->new_task_queue = [] { return new httplib::ThreadPool(Threads); };
     const auto Handle = [this, Number](const httplib::Request &Request,
                                        httplib::Response &Response) {
       serve(Number, Request, Response);
@@ -159,9 +183,11 @@
       Response.set_content("answer-" + Id, "text/plain");
       return;
     }
+    const std::string Last = Request.get_header_value("Last-Event-Id");
+    const int First = Last.empty() ? 1 : std::stoi(Last) + 1;
     Response.set_chunked_content_provider(
-        "text/event-stream", [](std::size_t, httplib::DataSink &Sink) {
-          for (int Event = 1; Event <= StreamEvents; ++Event) {
+        "text/event-stream", [First](std::size_t, httplib::DataSink &Sink) {
+          for (int Event = First; Event <= StreamEvents; ++Event) {
             const std::string Text = "id: " + std::to_string(Event) +
                                      "\ndata: e" + std::to_string(Event) +
                                      "\n\n";
@@ -174,7 +200,10 @@
         });
   }
 
+  static constexpr std::size_t Threads = 32;
+
   Store &Registry;
+  int Offset;
   std::mutex Mutex;
   std::map<int, int> Ports;
   json Runs = json::object();
@@ -196,6 +225,11 @@
                                              httplib::Response &Reply) {
     Send(Reply, Registry.range(Request.get_param_value("path_prefix")));
   });
+  Server.Get("/mallowglade/kv-watch", [&Registry,
+                                       Send](const httplib::Request &Request,
+                                             httplib::Response &Reply) {
+    Send(Reply, Registry.changes(std::stol(Request.get_param_value("after"))));
+  });
   Server.Post("/mallowglade/kv-lease",
               [&Registry, Send](const httplib::Request &, auto &Reply) {
                 Send(Reply, {{"lease", Registry.grant()}, {"ttl_ms", 9000}});
@@ -227,13 +261,16 @@
 } // namespace
 
 int main(int Count, char **Arguments) {
-  if (Count != 4)
+  constexpr int WithoutOffset = 4;
+  if (Count != WithoutOffset && Count != WithoutOffset + 1)
     return 2;
   Store Registry;
   int Version = 1;
   Registry.put("op/config", configuration(Version, json::array({"key"})));
   Registry.put("servers/foreign", json("not an upstream"));
-  Replicas Pool(Registry, std::atoi(Arguments[2]), std::atoi(Arguments[3]));
+  Replicas Pool(Registry, std::atoi(Arguments[2]), std::atoi(Arguments[3]),
+                Count > WithoutOffset ? std::atoi(Arguments[WithoutOffset])
+                                      : 0);
   httplib::Server Server;
   serveStore(Server, Registry);
   Server.Post("/control", [&](const httplib::Request &Request, auto &) {
@@ -244,6 +281,8 @@
       Registry.Down = Order["down"].get<bool>();
     if (Order.contains("leaving"))
       Pool.report(Order["leaving"].get<int>(), "draining");
+    if (Order.contains("back"))
+      Pool.report(Order["back"].get<int>(), "ready");
   });
   Server.Get("/runs", [&](const httplib::Request &, httplib::Response &Reply) {
     Reply.set_content(Pool.runs().dump(), "application/json");
