Give each run of the soak ports of its own

Its routers' logs hold the same ids with different routes (c0-107 once on `unsafe`, once on `safe`): callers of another run with the same block of ports had sent them. Servers with SO_REUSEPORT listen on a taken port without an error.

Change: a run holds the last port of its block and takes the next block if it is held by another.

--- a/tests/integration/soak.cpp
+++ b/tests/integration/soak.cpp
@@ -8,6 +8,7 @@
 
 #include <fleet.hpp>
 
+#include <asio.hpp>
 #include <fmt/format.h>
 
 #include <atomic>
@@ -69,12 +70,37 @@
   std::size_t Count = 0;
 };
 
+/// A block of ports that no other run uses; the last port is held as a lock,
+/// since servers of two runs can listen on the same port without an error.
+class PortBlock {
+public:
+  PortBlock() : Lock(Context) {
+    for (int Try = 0; Try < Runs && !Lock.is_open(); ++Try) {
+      First = FirstPort + (::getpid() + Try) % Runs * PortsPerRun;
+      const asio::ip::tcp::endpoint Last(
+          asio::ip::make_address("127.0.0.1"),
+          static_cast<std::uint16_t>(First + PortsPerRun - 1));
+      std::error_code Taken;
+      Lock.open(Last.protocol(), Taken);
+      Lock.bind(Last, Taken);
+      if (Taken)
+        Lock.close();
+    }
+  }
+  int first() const { return First; }
+  bool taken() const { return Lock.is_open(); }
+
+private:
+  asio::io_context Context;
+  asio::ip::tcp::acceptor Lock;
+  int First = 0;
+};
+
 /// The processes of a run.
 class Deployment {
 public:
-  explicit Deployment(const std::filesystem::path &Directory)
-      : Directory(Directory),
-        Base(FirstPort + ::getpid() % Runs * PortsPerRun) {
+  Deployment(const std::filesystem::path &Directory, int Base)
+      : Directory(Directory), Base(Base) {
     std::filesystem::create_directories(Directory);
     json Routes{{"store", route(storePort())}};
     for (int At = 0; At < Replicas; ++At)
@@ -360,7 +386,12 @@
 std::size_t soak(std::uint64_t Seed, std::chrono::seconds Span,
                  const std::filesystem::path &Directory) {
   Findings Found;
-  Deployment Fleet(Directory);
+  const PortBlock Ports;
+  if (!Ports.taken()) {
+    Found.add("all blocks of ports are in use");
+    return Found.count();
+  }
+  Deployment Fleet(Directory, Ports.first());
   Caller Prober(Fleet, Found, Callers, Seed);
   for (int Router = 0; Router < Routers; ++Router)
     if (!serves(Prober, Router, 2 * RecoveryBound))
