--- a/tests/unit-platform-store.cpp
+++ b/tests/unit-platform-store.cpp
@@ -132,7 +132,8 @@
 
   Result<dataplane::FleetState> read() {
     std::optional<Result<dataplane::FleetState>> Outcome;
-    Client.read([&](Result<dataplane::FleetState> Read) { Outcome = Read; });
+    Client.read(
+        [&](const Result<dataplane::FleetState> &Read) { Outcome = Read; });
     Context.restart();
     while (!Outcome && Context.run_one() > 0)
       ;
