Log address lookups and name the workspace of early refusals

Lookups were not logged, a refusal for overload named neither the workspace nor its share, and nothing showed when a router is overloaded. Change: events address_lookup, overload_begins and overload_ends; the caller's address in request lines; workspace and share_fill in early refusals; a counter of the streams refused for overload. No decision changed.

--- a/include/mallowglade/detail/dataplane/traffic.hpp
+++ b/include/mallowglade/detail/dataplane/traffic.hpp
@@ -54,6 +54,8 @@
   std::uint64_t Requests = 0;
   std::uint64_t Answered = 0;
   std::uint64_t Refused = 0;
+  /// Streams refused because this router was overloaded; part of `Refused`.
+  std::uint64_t RefusedForOverload = 0;
   std::uint64_t Failed = 0;
   std::uint64_t Retries = 0;
   std::uint64_t ResumedStreams = 0;
@@ -101,7 +103,9 @@
 
   void onRequest(const std::shared_ptr<http1::ServerExchange> &Exchange);
   void refuseRequest(http1::ServerExchange &Exchange, unsigned Status,
-                     std::string_view Reason, const AttemptId &Attempt);
+                     std::string_view Reason, const AttemptId &Attempt,
+                     const WorkspaceId &Workspace = WorkspaceId());
+  void sampleDelay(Milliseconds Delay);
   const ServiceId &pickService(const Route &MatchedRoute);
   bool credentialsFresh() const;
   void scheduleDispatch();
--- a/include/mallowglade/detail/http1/server.hpp
+++ b/include/mallowglade/detail/http1/server.hpp
@@ -50,7 +50,9 @@
     : public std::enable_shared_from_this<ServerConnection>,
       private MessageSink {
 public:
-  ServerConnection(asio::ip::tcp::socket Socket, Http1Server &Server);
+  /// @param ClientAddress address that the client connected from
+  ServerConnection(asio::ip::tcp::socket Socket,
+                   asio::ip::address ClientAddress, Http1Server &Server);
   ~ServerConnection() override;
 
   void start();
@@ -84,6 +86,7 @@
   std::string formatHead(unsigned Status, const HeaderList &Fields) const;
 
   asio::ip::tcp::socket Socket;
+  asio::ip::address ClientAddress;
   Http1Server &Server;
   MessageParser Parser;
   asio::steady_timer Timer;
--- a/include/mallowglade/detail/http1/server_exchange.hpp
+++ b/include/mallowglade/detail/http1/server_exchange.hpp
@@ -2,6 +2,8 @@
 
 #include <mallowglade/detail/http1/message.hpp>
 
+#include <asio/ip/address.hpp>
+
 #include <functional>
 #include <memory>
 #include <string>
@@ -19,8 +21,13 @@
 /// after the client has disconnected have no effect.
 class ServerExchange {
 public:
-  explicit ServerExchange(std::weak_ptr<ServerConnection> Connection)
-      : Connection(std::move(Connection)) {}
+  ServerExchange(std::weak_ptr<ServerConnection> Connection,
+                 asio::ip::address ClientAddress)
+      : ClientAddress(std::move(ClientAddress)),
+        Connection(std::move(Connection)) {}
+
+  /// Address that the client connected from.
+  const asio::ip::address ClientAddress;
 
   RequestHead Head;
   std::string Body;
--- a/src/dataplane/control.cpp
+++ b/src/dataplane/control.cpp
@@ -392,6 +392,11 @@
                 Addresses[Index + Random.below(Addresses.size() - Index)]);
     Addresses.resize(MaxAddresses);
   }
+  Log.write("address_lookup",
+            {{"caller", Exchange->ClientAddress.to_string()},
+             {"addresses", std::int64_t(Addresses.size())},
+             {"live_routers", std::int64_t(Peers.liveRouters())},
+             {"advertised", advertised() ? "true" : "false"}});
   if (Addresses.empty()) {
     Exchange->respond(503, {}, "");
     return;
@@ -412,6 +417,8 @@
   SetMetric("mallowglade_requests", static_cast<double>(OwnCounters.Requests));
   SetMetric("mallowglade_answered", static_cast<double>(OwnCounters.Answered));
   SetMetric("mallowglade_refused", static_cast<double>(OwnCounters.Refused));
+  SetMetric("mallowglade_refused_for_overload",
+            static_cast<double>(OwnCounters.RefusedForOverload));
   SetMetric("mallowglade_failed", static_cast<double>(OwnCounters.Failed));
   SetMetric("mallowglade_retries", static_cast<double>(OwnCounters.Retries));
   SetMetric("mallowglade_resumed_streams",
--- a/src/dataplane/request_run.cpp
+++ b/src/dataplane/request_run.cpp
@@ -448,6 +448,7 @@
       {{"request", Metadata.Attempt.Value},
        {"route", MatchedRoute.Name},
        {"workspace", Workspace.Value},
+       {"caller", Exchange->ClientAddress.to_string()},
        {"outcome", Outcome},
        {"status", std::int64_t(Status)},
        {"upstream", TargetUpstream.Id.Value},
--- a/src/dataplane/traffic.cpp
+++ b/src/dataplane/traffic.cpp
@@ -97,9 +97,8 @@
   Ticker.async_wait([this](std::error_code Error) {
     if (Error)
       return;
-    Overload.sample(std::chrono::duration_cast<Milliseconds>(
-                        std::chrono::steady_clock::now() - Ticker.expiry()),
-                    Time.now());
+    sampleDelay(std::chrono::duration_cast<Milliseconds>(
+        std::chrono::steady_clock::now() - Ticker.expiry()));
     if (Queue.waiting() > 0) {
       Queue.dispatch();
       Queue.expire();
@@ -108,6 +107,19 @@
   });
 }
 
+void Traffic::sampleDelay(Milliseconds Delay) {
+  const bool WasOverloaded = Overload.refusesStreams();
+  Overload.sample(Delay, Time.now());
+  if (Overload.refusesStreams() == WasOverloaded)
+    return;
+  Log.write(
+      WasOverloaded ? "overload_ends" : "overload_begins",
+      {{"delay_ms", std::int64_t(Delay.count())},
+       {"connections", std::int64_t(Server.connections())},
+       {"busy_connections", std::int64_t(Server.busyConnections())},
+       {"refused_for_overload", std::int64_t(Counters.RefusedForOverload)}});
+}
+
 void Traffic::apply(const ControlView &Next) {
   const bool ConfigChanged = Next.Config != View.Config;
   View = Next;
@@ -186,18 +198,25 @@
 }
 
 void Traffic::refuseRequest(http1::ServerExchange &Exchange, unsigned Status,
-                            std::string_view Reason, const AttemptId &Attempt) {
+                            std::string_view Reason, const AttemptId &Attempt,
+                            const WorkspaceId &Workspace) {
   http1::HeaderList Fields;
   if (Status == 503)
     Fields.add("Retry-After", std::string(RefusalRetryAfterSeconds));
   ++Counters.Refused;
-  Log.write("request",
-            {{"request", Attempt.Value},
-             {"target", Exchange.Head.Target},
-             {"outcome", Reason},
-             {"status", std::int64_t(Status)},
-             {"config", View.Config ? std::int64_t(View.Config->Version.Value)
-                                    : std::int64_t(0)}});
+  Log.write(
+      "request",
+      {{"request", Attempt.Value},
+       {"target", Exchange.Head.Target},
+       {"caller", Exchange.ClientAddress.to_string()},
+       {"workspace", Workspace.Value},
+       {"share_fill", Workspace.empty() ? 0.0
+                                        : Shares.shareFill(WorkspaceKey(
+                                              stableHash(Workspace.Value)))},
+       {"outcome", Reason},
+       {"status", std::int64_t(Status)},
+       {"config", View.Config ? std::int64_t(View.Config->Version.Value)
+                              : std::int64_t(0)}});
   Exchange.respond(Status, Fields, "");
 }
 
@@ -239,19 +258,22 @@
     Workspace = KeyWorkspace->Name;
   }
   if (RefusingNewRequests || (RefusingNewStreams && MatchedRoute->Streaming)) {
-    refuseRequest(*Exchange, 503, "stopping", Metadata.Attempt);
+    refuseRequest(*Exchange, 503, "stopping", Metadata.Attempt, Workspace);
     return;
   }
   if (Overload.refusesStreams() && MatchedRoute->Streaming) {
+    ++Counters.RefusedForOverload;
     Exchange->closeAfterResponse();
-    refuseRequest(*Exchange, 503, "router_overloaded", Metadata.Attempt);
+    refuseRequest(*Exchange, 503, "router_overloaded", Metadata.Attempt,
+                  Workspace);
     return;
   }
   const RequestFingerprint Fingerprint =
       requestFingerprint(Workspace.Value, Exchange->Head.Method,
                          Exchange->Head.Target, Exchange->Body);
   if (Crashes.shouldRefuse(Fingerprint)) {
-    refuseRequest(*Exchange, 503, "crashes_upstreams", Metadata.Attempt);
+    refuseRequest(*Exchange, 503, "crashes_upstreams", Metadata.Attempt,
+                  Workspace);
     return;
   }
   const auto Run = std::make_shared<RequestRun>(
--- a/src/http1/server.cpp
+++ b/src/http1/server.cpp
@@ -69,7 +69,8 @@
   for (int Count = 0; Count < MaxAcceptsPerWakeup; ++Count) {
     std::error_code Error;
     asio::ip::tcp::socket Socket(Context);
-    Acceptor.accept(Socket, Error);
+    asio::ip::tcp::endpoint Client;
+    Acceptor.accept(Socket, Client, Error);
     if (Error == asio::error::connection_aborted)
       continue;
     if (Error)
@@ -81,7 +82,9 @@
     ++Counters.Accepted;
     if (aboveSoftLimit())
       closeOldestIdle();
-    std::make_shared<ServerConnection>(std::move(Socket), *this)->start();
+    std::make_shared<ServerConnection>(std::move(Socket), Client.address(),
+                                       *this)
+        ->start();
   }
   return {};
 }
--- a/src/http1/server_connection.cpp
+++ b/src/http1/server_connection.cpp
@@ -24,9 +24,10 @@
 } // namespace
 
 ServerConnection::ServerConnection(asio::ip::tcp::socket ClientSocket,
+                                   asio::ip::address ClientAddress,
                                    Http1Server &Server)
-    : Socket(std::move(ClientSocket)), Server(Server),
-      Parser(HTTP_REQUEST, Server.Limits.MaxHeadBytes, *this),
+    : Socket(std::move(ClientSocket)), ClientAddress(std::move(ClientAddress)),
+      Server(Server), Parser(HTTP_REQUEST, Server.Limits.MaxHeadBytes, *this),
       Timer(Socket.get_executor()) {
   Server.OpenConnections.insert(this);
 }
@@ -156,7 +157,8 @@
 }
 
 void ServerConnection::onHead() {
-  PendingExchange = std::make_shared<ServerExchange>(weak_from_this());
+  PendingExchange =
+      std::make_shared<ServerExchange>(weak_from_this(), ClientAddress);
   PendingExchange->Head = std::move(Parser.request());
   if (PendingExchange->Head.ExpectsContinue)
     write("HTTP/1.1 100 Continue\r\n\r\n");
