--- a/tests/support/proxy_harness.cpp
+++ b/tests/support/proxy_harness.cpp
@@ -5,6 +5,8 @@
 #include <fcntl.h>
 #include <unistd.h>
 
+#include <thread>
+
 using namespace mallowglade;
 using namespace mallowglade::dataplane;
 
@@ -34,9 +36,12 @@
   Resumable.Streaming = Resumable.Resumable = Resumable.Idempotent = true;
   Route Stream = makeRoute("/stream/");
   Stream.Streaming = true;
-  Config->Routes = {Safe, makeRoute("/unsafe/"), Resumable, Stream};
+  Route Model = makeRoute("/model/");
+  Model.Streaming = Model.PromptAffinity = true;
+  Config->Routes = {Safe, makeRoute("/unsafe/"), Resumable, Stream, Model};
   Config->Services.push_back({Pool, "/healthz", 100, {}});
   Config->Workspaces.push_back({WorkspaceId("desk"), {"key"}, {}});
+  Config->Workspaces.push_back({WorkspaceId("shop"), {"shop-key"}, {}});
   Config->Limits = {16'384, 1 << 20, Milliseconds(3'000), Milliseconds(15'000),
                     0};
   Config->index();
@@ -161,6 +166,19 @@
   return Callers.size() - 1;
 }
 
+bool ProxyHarness::acceptsConnections() {
+  asio::ip::tcp::socket Socket(Context);
+  const HostPort Parts = splitAddress(Settings.CallerListen);
+  std::error_code Error;
+  Socket.connect({asio::ip::make_address(Parts.Host), Parts.Port}, Error);
+  return !Error;
+}
+
+void ProxyHarness::stall(std::chrono::milliseconds Duration) {
+  std::this_thread::sleep_for(Duration);
+  runFor(std::chrono::milliseconds(1));
+}
+
 void ProxyHarness::readCaller(const std::shared_ptr<Caller> &Source) {
   Source->Socket.async_read_some(
       asio::buffer(Source->Bytes),
--- a/tests/support/proxy_harness.hpp
+++ b/tests/support/proxy_harness.hpp
@@ -47,6 +47,11 @@
   /// Opens a connection to the router.
   /// @return index of the caller
   std::size_t connect();
+  /// @return true if the router accepts a connection, which is closed at once
+  bool acceptsConnections();
+  /// Keeps the event loop from running for the given time, as on an instance
+  /// without processor time, then lets the router notice.
+  void stall(std::chrono::milliseconds Duration);
   void sendAsCaller(std::size_t Caller, const std::string &Bytes);
   void closeCaller(std::size_t Caller);
   /// Runs the event loop until a condition holds.
@@ -59,7 +64,8 @@
   /// Number of requests that upstreams have received.
   std::size_t requestCount() const;
 
-  /// A request as a caller sends it, with a key of the workspace "desk".
+  /// A request as a caller sends it, with the key "key" of the workspace
+  /// "desk". The workspace "shop" has the key "shop-key".
   static std::string callerRequest(const std::string &Method,
                                    const std::string &Path,
                                    const std::string &Id,
