Keep an overloaded router from starving a workspace

Cause: callers of some workspaces all use one router, whatever is advertised. Its event loop lagged, and it refused all streams alike. Reading and refusing 1,900 requests a second took all its processor time, so it served next to nothing, and each refusal closed the connection and brought a new one. It also said that it was ready, so its callers stayed. Change: while overloaded a router closes its listening socket for up to a second at a time, is not ready unless most others are overloaded too, and serves the streams of the least served workspaces up to a lag of 240 ms. New: the pause is bounded, a saturated router refuses all streams, readiness.

--- a/include/mallowglade/detail/dataplane/control.hpp
+++ b/include/mallowglade/detail/dataplane/control.hpp
@@ -42,11 +42,14 @@
   std::error_code start();
   /// @brief Deregisters this router and stops advertising it to callers.
   void startDraining();
-  /// @return true while this router accepts callers
+  /// @return true while this router is configured and not shutting down
   bool ready() const;
   /// @return true while this router is advertised to callers: ready and not
   ///   overloaded
   bool advertised() const;
+  /// @return outcome of readiness probes: true while this router is advertised,
+  ///   or while the others could not take over its callers
+  bool acceptsCallers() const;
   /// @brief Stores the report of the traffic thread and sends it to the peers.
   void onReport(TrafficReport Report, TrafficCounters Counters);
 
--- a/include/mallowglade/detail/dataplane/overload.hpp
+++ b/include/mallowglade/detail/dataplane/overload.hpp
@@ -4,21 +4,31 @@
 
 namespace mallowglade::dataplane {
 
-/// @brief Detects CPU overload of a router from the scheduling delay of a
-///   periodic task.
+/// @brief Decides what a router that lacks processor time still takes on.
 ///
-/// Handles a workspace that floods one router. While the router is overloaded,
-/// new streams are refused at once and its address is not advertised, so that
-/// callers move to the other routers.
+/// Handles a workspace whose callers all use one router. The scheduling delay
+/// of a periodic task shows how late the event loop is. Refusing a request
+/// takes a good part of the time of serving one, so an overloaded router does
+/// not read most of them: it pauses accepting connections and is not advertised
+/// to callers. Of the streams that arrive on open connections it serves those
+/// of the least served workspaces, so that what it can do goes where the fleet
+/// has done least.
 class OverloadDetector {
 public:
   /// @brief Records one measurement.
   /// @param Delay time from when the task was due to when it ran
   void sample(Milliseconds Delay, TimePoint Now);
-  /// @return true while new streams should be refused
-  bool refusesStreams() const { return RefusesStreams; }
+  /// @return true while the event loop is late
+  bool overloaded() const { return Overloaded; }
+  /// @param LeastServed true if no backlogged workspace is served clearly less
+  ///   than that of the stream
+  /// @return true if a new stream should be refused
+  bool refusesStream(bool LeastServed) const;
+  /// @return true if new connections should be accepted; also true now and then
+  ///   during an overload, so that the router stays reachable
+  bool acceptsConnections() const { return AcceptsConnections; }
   /// @return true while the router should not be advertised; outlasts
-  ///   `refusesStreams`, so that callers do not all return at once
+  ///   `overloaded`, so that callers do not all return at once
   bool withheldFromCallers(TimePoint Now) const {
     return Now < NotAdvertisedUntil;
   }
@@ -26,7 +36,9 @@
 private:
   double SmoothedDelayMs = 0;
   TimePoint NotAdvertisedUntil{};
-  bool RefusesStreams = false;
+  TimePoint AcceptPauseBegan{};
+  bool Overloaded = false;
+  bool AcceptsConnections = true;
 };
 
 } // namespace mallowglade::dataplane
--- a/include/mallowglade/detail/dataplane/peer_directory.hpp
+++ b/include/mallowglade/detail/dataplane/peer_directory.hpp
@@ -76,6 +76,9 @@
   /// @return time between reports; it grows with the number of routers in the
   ///   zone, which bounds the number of reports that each of them receives
   Milliseconds reportPeriod() const;
+  /// @return true if at least half of the other live routers accept callers, so
+  ///   that they can take over those of this one
+  bool othersAcceptCallers() const;
   /// @return number of live routers, including this one
   std::size_t liveRouters() const;
 
--- a/include/mallowglade/detail/dataplane/traffic.hpp
+++ b/include/mallowglade/detail/dataplane/traffic.hpp
@@ -105,7 +105,13 @@
   void refuseRequest(http1::ServerExchange &Exchange, unsigned Status,
                      std::string_view Reason, const AttemptId &Attempt,
                      const WorkspaceId &Workspace = WorkspaceId());
+  /// @brief Processes a measurement of the event loop's delay.
   void sampleDelay(Milliseconds Delay);
+  /// @brief Opens or closes the listening socket for callers.
+  void setListening(bool Listening);
+  /// @return true if no backlogged workspace is served clearly less than this
+  ///   one; false if shares do not apply
+  bool isLeastServed(const Route &MatchedRoute, const WorkspaceId &Workspace);
   const ServiceId &pickService(const Route &MatchedRoute);
   bool credentialsFresh() const;
   void scheduleDispatch();
--- a/include/mallowglade/detail/http1/server.hpp
+++ b/include/mallowglade/detail/http1/server.hpp
@@ -124,8 +124,12 @@
   void drain();
   /// @brief Closes all idle connections.
   void closeIdle();
-  /// @brief Closes the listening socket.
+  /// @brief Closes the listening socket. Until `listen` is called again, the
+  ///   operating system refuses new connections and resets those not yet
+  ///   accepted.
   void stopListening();
+  /// @return true while the listening socket is open
+  bool listening() const { return Acceptor.is_open(); }
   std::size_t connections() const { return OpenConnections.size(); }
   /// @return number of connections on which a request is received or processed
   std::size_t busyConnections() const;
@@ -151,6 +155,8 @@
   /// Connections without a request, ordered by the start of their idle time.
   std::list<ServerConnection *> IdleConnections;
   std::size_t BufferedBytes = 0;
+  /// True while a wait for connections is outstanding.
+  bool AcceptPending = false;
   bool Draining = false;
 };
 
--- a/src/dataplane/control.cpp
+++ b/src/dataplane/control.cpp
@@ -362,6 +362,10 @@
 
 bool Control::advertised() const { return ready() && !OwnReport.Overloaded; }
 
+bool Control::acceptsCallers() const {
+  return advertised() || (ready() && !Peers.othersAcceptCallers());
+}
+
 void Control::startDraining() {
   Draining = true;
   Store.deregisterRouter();
@@ -374,7 +378,7 @@
   if (!Wire.isReadinessRequest(Exchange->Head.Target))
     Exchange->respond(404, {}, "");
   else
-    Exchange->respond(ready() ? 200 : 503, {}, "");
+    Exchange->respond(acceptsCallers() ? 200 : 503, {}, "");
 }
 
 void Control::onAddresses(
--- a/src/dataplane/overload.cpp
+++ b/src/dataplane/overload.cpp
@@ -4,27 +4,41 @@
 
 namespace {
 
-/// Delay above which new streams are refused: a tenth of the shortest latency
+/// Delay above which the router is overloaded: a tenth of the shortest latency
 /// objective in use.
-constexpr double RefuseAboveDelayMs = 60;
-/// Delay below which new streams are accepted again.
-constexpr double AcceptBelowDelayMs = 30;
+constexpr double OverloadDelayMs = 60;
+/// Delay below which an overload ends.
+constexpr double RecoveredDelayMs = 30;
+/// Delay above which no new stream can meet the shortest latency objective.
+constexpr double SaturationDelayMs = 240;
 constexpr double SmoothingWeight = 0.5;
 /// Time for which the router is not advertised after an overload; longer than
 /// the two seconds after which callers look up addresses again.
 constexpr Milliseconds AdvertiseHoldOff{3'000};
+/// Longest time without accepting a connection.
+constexpr Milliseconds MaxAcceptPause{1'000};
 
 } // namespace
 
 void OverloadDetector::sample(Milliseconds Delay, TimePoint Now) {
   SmoothedDelayMs +=
       SmoothingWeight * (static_cast<double>(Delay.count()) - SmoothedDelayMs);
-  if (SmoothedDelayMs > RefuseAboveDelayMs)
-    RefusesStreams = true;
-  else if (SmoothedDelayMs < AcceptBelowDelayMs)
-    RefusesStreams = false;
-  if (RefusesStreams)
-    NotAdvertisedUntil = Now + AdvertiseHoldOff;
+  if (SmoothedDelayMs > OverloadDelayMs)
+    Overloaded = true;
+  else if (SmoothedDelayMs < RecoveredDelayMs)
+    Overloaded = false;
+  if (!Overloaded) {
+    AcceptsConnections = true;
+    return;
+  }
+  NotAdvertisedUntil = Now + AdvertiseHoldOff;
+  if (AcceptsConnections)
+    AcceptPauseBegan = Now;
+  AcceptsConnections = Now - AcceptPauseBegan >= MaxAcceptPause;
+}
+
+bool OverloadDetector::refusesStream(bool LeastServed) const {
+  return Overloaded && (!LeastServed || SmoothedDelayMs > SaturationDelayMs);
 }
 
 } // namespace mallowglade::dataplane
--- a/src/dataplane/peer_directory.cpp
+++ b/src/dataplane/peer_directory.cpp
@@ -285,6 +285,19 @@
   return Sum;
 }
 
+bool PeerDirectory::othersAcceptCallers() const {
+  std::size_t Live = 0;
+  std::size_t Ready = 0;
+  for (const auto &[Id, Router] : Peers) {
+    if (!isLive(Router))
+      continue;
+    ++Live;
+    if (isReady(Router))
+      ++Ready;
+  }
+  return Ready > 0 && 2 * Ready >= Live;
+}
+
 std::size_t PeerDirectory::liveRouters() const {
   return 1 + static_cast<std::size_t>(std::count_if(
                  Peers.begin(), Peers.end(),
--- a/src/dataplane/traffic.cpp
+++ b/src/dataplane/traffic.cpp
@@ -108,9 +108,11 @@
 }
 
 void Traffic::sampleDelay(Milliseconds Delay) {
-  const bool WasOverloaded = Overload.refusesStreams();
+  const bool WasOverloaded = Overload.overloaded();
   Overload.sample(Delay, Time.now());
-  if (Overload.refusesStreams() == WasOverloaded)
+  if (Overload.acceptsConnections() != Server.listening())
+    setListening(Overload.acceptsConnections());
+  if (Overload.overloaded() == WasOverloaded)
     return;
   Log.write(
       WasOverloaded ? "overload_ends" : "overload_begins",
@@ -120,6 +122,23 @@
        {"refused_for_overload", std::int64_t(Counters.RefusedForOverload)}});
 }
 
+void Traffic::setListening(bool Listening) {
+  if (!Listening) {
+    Server.stopListening();
+    return;
+  }
+  // Tried again with the next sample.
+  if (const std::error_code Error = Server.listen())
+    Log.write("listen_failed", {{"cause", Error.message()}});
+}
+
+bool Traffic::isLeastServed(const Route &MatchedRoute,
+                            const WorkspaceId &Workspace) {
+  return MatchedRoute.PromptAffinity && !Workspace.empty() &&
+         Shares.level() > 0 &&
+         Shares.mayExceedShare(WorkspaceKey(stableHash(Workspace.Value)));
+}
+
 void Traffic::apply(const ControlView &Next) {
   const bool ConfigChanged = Next.Config != View.Config;
   View = Next;
@@ -261,7 +280,8 @@
     refuseRequest(*Exchange, 503, "stopping", Metadata.Attempt, Workspace);
     return;
   }
-  if (Overload.refusesStreams() && MatchedRoute->Streaming) {
+  if (MatchedRoute->Streaming &&
+      Overload.refusesStream(isLeastServed(*MatchedRoute, Workspace))) {
     ++Counters.RefusedForOverload;
     Exchange->closeAfterResponse();
     refuseRequest(*Exchange, 503, "router_overloaded", Metadata.Attempt,
--- a/src/http1/server.cpp
+++ b/src/http1/server.cpp
@@ -40,16 +40,27 @@
     Acceptor.non_blocking(true, Error);
   if (!Error)
     Acceptor.listen(ListenBacklog, Error);
-  if (!Error)
+  if (Error)
+    stopListening();
+  else
     accept();
   return Error;
 }
 
 void Http1Server::accept() {
+  if (AcceptPending)
+    return;
+  AcceptPending = true;
   Acceptor.async_wait(
       asio::ip::tcp::acceptor::wait_read, [this](std::error_code Error) {
-        if (Error == asio::error::operation_aborted || !Acceptor.is_open())
+        AcceptPending = false;
+        if (!Acceptor.is_open())
           return;
+        // The socket was closed and opened again since the wait began.
+        if (Error == asio::error::operation_aborted) {
+          accept();
+          return;
+        }
         const std::error_code AcceptError = acceptPending();
         if (!AcceptError || AcceptError == asio::error::would_block) {
           accept();
@@ -109,6 +120,7 @@
 void Http1Server::stopListening() {
   std::error_code Ignored;
   Acceptor.close(Ignored);
+  RetryTimer.cancel();
 }
 
 std::size_t Http1Server::busyConnections() const {
--- a/tests/unit-dataplane-control.cpp
+++ b/tests/unit-dataplane-control.cpp
@@ -99,6 +99,8 @@
         Proxy(Context, Settings, Wire, Time, Random, Log),
         State(Context, Settings, Wire, Store, *this, Time, Random, Log) {}
   void postToTraffic(std::function<void(Traffic &)> Task) override {
+    if (TrafficStalled)
+      return;
     asio::post(Context, [this, Task = std::move(Task)] { Task(Proxy); });
   }
   RouterRecord record() const {
@@ -106,6 +108,8 @@
             Settings.PeerListen};
   }
 
+  /// Set while tasks of the traffic thread do not run.
+  bool TrafficStalled = false;
   asio::io_context &Context;
   NodeSettings Settings;
   platform::PlatformWire Wire;
@@ -144,16 +148,16 @@
     return Counts;
   }
 
-  /// Queries the address discovery endpoint of a router.
-  /// @return number of routers of the fleet in the response
-  std::size_t countAdvertisedRouters(const TestRouter &Target) {
+  /// Sends a GET request to a control endpoint.
+  /// @return the response, head and body
+  std::string get(const std::string &Endpoint, const std::string &Target) {
     std::string Response;
     std::thread Caller([&] {
-      const HostPort Address = splitAddress(Target.Settings.AddressesListen);
+      const HostPort Address = splitAddress(Endpoint);
       asio::ip::tcp::iostream Stream(Address.Host,
                                      std::to_string(Address.Port));
-      Stream << "GET /mallowglade/resolve?name=x HTTP/1.1\r\nHost: x\r\n"
-                "Connection: close\r\n\r\n"
+      Stream << "GET " << Target
+             << " HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n"
              << std::flush;
       std::ostringstream Reply;
       Reply << Stream.rdbuf();
@@ -161,6 +165,14 @@
     });
     Context.run_for(Milliseconds(300));
     Caller.join();
+    return Response;
+  }
+
+  /// Queries the address discovery endpoint of a router.
+  /// @return number of routers of the fleet in the response
+  std::size_t countAdvertisedRouters(const TestRouter &Target) {
+    const std::string Response =
+        get(Target.Settings.AddressesListen, "/mallowglade/resolve?name=x");
     std::size_t Count = 0;
     for (const auto &Router : Routers)
       Count += Response.find('"' + Router->Settings.CallerListen + '"') !=
@@ -178,6 +190,7 @@
   CPPUNIT_TEST(followersDoNotReadWhileReportsConfirmState);
   CPPUNIT_TEST(followersReadOnceAfterChange);
   CPPUNIT_TEST(digestsReachAllRoutersOfOtherZones);
+  CPPUNIT_TEST(overloadedRouterHandsItsCallersOver);
   CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -235,6 +248,32 @@
       CPPUNIT_ASSERT_EQUAL(TestFleet.Routers.size(),
                            TestFleet.countAdvertisedRouters(*Router));
   }
+
+  // Guards against callers that stay at an overloaded router because it says
+  // that it is ready, and against a fleet in which no router is ready.
+  void overloadedRouterHandsItsCallersOver() {
+    Fleet TestFleet;
+    TestFleet.Context.run_for(Milliseconds(1'500));
+    const auto IsReady = [&TestFleet](const TestRouter &Target) {
+      return TestFleet
+          .get(Target.Settings.ReadinessListen, "/mallowglade/readyz")
+          .starts_with("HTTP/1.1 200");
+    };
+    const auto Overload = [](TestRouter &Target) {
+      TrafficReport Report;
+      Report.Overloaded = true;
+      Target.TrafficStalled = true;
+      Target.State.onReport(Report, {});
+    };
+    TestRouter &First = *TestFleet.Routers.front();
+    CPPUNIT_ASSERT(IsReady(First));
+    Overload(First);
+    CPPUNIT_ASSERT(!IsReady(First));
+    for (const auto &Router : TestFleet.Routers)
+      Overload(*Router);
+    TestFleet.Context.run_for(Milliseconds(1'500));
+    CPPUNIT_ASSERT(IsReady(First));
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(DataplaneControlTest);
--- a/tests/unit-dataplane-decisions.cpp
+++ b/tests/unit-dataplane-decisions.cpp
@@ -146,6 +146,8 @@
   CPPUNIT_TEST(unconfirmedStateIsReadInTime);
   CPPUNIT_TEST(delayedReportsDoNotProveTheState);
   CPPUNIT_TEST(overloadedRouterIsNotAdvertised);
+  CPPUNIT_TEST(overloadedRouterStaysReachable);
+  CPPUNIT_TEST(saturatedRouterRefusesAllStreams);
   CPPUNIT_TEST(requestThatCrashesUpstreamsIsRefused);
   CPPUNIT_TEST(requestThatIsAlsoAnsweredIsNotRefused);
   CPPUNIT_TEST(fleetRetriesStayWithinTheBudget);
@@ -479,19 +481,54 @@
     ManualClock Time;
     OverloadDetector Overload;
     Overload.sample(Milliseconds(5), Time.now());
-    CPPUNIT_ASSERT(!Overload.refusesStreams());
+    CPPUNIT_ASSERT(!Overload.overloaded());
     for (int Round = 0; Round < 4; ++Round)
       Overload.sample(Milliseconds(150), Time.now());
-    CPPUNIT_ASSERT(Overload.refusesStreams());
+    CPPUNIT_ASSERT(Overload.overloaded());
     CPPUNIT_ASSERT(Overload.withheldFromCallers(Time.now()));
     for (int Round = 0; Round < 8; ++Round)
       Overload.sample(Milliseconds(0), Time.now());
-    CPPUNIT_ASSERT(!Overload.refusesStreams());
+    CPPUNIT_ASSERT(!Overload.overloaded());
     CPPUNIT_ASSERT(Overload.withheldFromCallers(Time.now()));
     Time.advance(std::chrono::seconds(4));
     CPPUNIT_ASSERT(!Overload.withheldFromCallers(Time.now()));
   }
 
+  // Guards against a router that is never reachable while its overload lasts.
+  void overloadedRouterStaysReachable() {
+    constexpr Milliseconds Period{50};
+    constexpr Milliseconds LongestPause{3'000};
+    ManualClock Time;
+    OverloadDetector Overload;
+    TimePoint LastAccepted = Time.now();
+    unsigned Accepting = 0;
+    constexpr unsigned Samples = 400;
+    for (unsigned Sample = 0; Sample < Samples; ++Sample) {
+      Time.advance(Period);
+      Overload.sample(Milliseconds(200), Time.now());
+      if (Overload.acceptsConnections()) {
+        LastAccepted = Time.now();
+        ++Accepting;
+      }
+      CPPUNIT_ASSERT(Time.now() - LastAccepted < LongestPause);
+    }
+    CPPUNIT_ASSERT(Accepting < Samples / 4);
+  }
+
+  // Guards against serving streams that cannot start within their latency
+  // objective.
+  void saturatedRouterRefusesAllStreams() {
+    ManualClock Time;
+    OverloadDetector Overload;
+    CPPUNIT_ASSERT(!Overload.refusesStream(false));
+    Overload.sample(Milliseconds(200), Time.now());
+    CPPUNIT_ASSERT(Overload.refusesStream(false));
+    CPPUNIT_ASSERT(!Overload.refusesStream(true));
+    for (int Round = 0; Round < 4; ++Round)
+      Overload.sample(Milliseconds(600), Time.now());
+    CPPUNIT_ASSERT(Overload.refusesStream(true));
+  }
+
   // Guards against a retry storm after upstreams fail.
   void fleetRetriesStayWithinTheBudget() {
     constexpr std::size_t Routers = 8;
--- a/tests/unit-dataplane-overload.cpp
+++ b/tests/unit-dataplane-overload.cpp
@@ -30,7 +30,7 @@
          "\r\nMallowglade-Replica-Signature: s1\r\n"
          "Content-Type: text/event-stream\r\n"
          "Transfer-Encoding: chunked\r\n\r\n"
-         "f\r\nid: 1\ndata: e1\n\n\r\n0\r\n\r\n";
+         "10\r\nid: 1\ndata: e1\n\n\r\n0\r\n\r\n";
 }
 
 /// Lets the rest of the fleet report two backlogged workspaces: "desk" is
--- a/tests/unit-dataplane-peers.cpp
+++ b/tests/unit-dataplane-peers.cpp
@@ -44,6 +44,7 @@
   CPPUNIT_TEST(repeatedReportsAreNotCountedTwice);
   CPPUNIT_TEST(failedRoutersAreNotAdvertised);
   CPPUNIT_TEST(isolatedRouterAdvertisesRegisteredRouters);
+  CPPUNIT_TEST(callersAreOnlyHandedOverToRoutersThatAcceptThem);
   CPPUNIT_TEST(backupDigestTakesOverAfterTimeout);
   CPPUNIT_TEST(readerMovesToRouterThatReachesStore);
   CPPUNIT_TEST(misaddressedDigestsAreForwarded);
@@ -164,6 +165,25 @@
     CPPUNIT_ASSERT_EQUAL(Registered.size() / 2, Peers.callerAddresses().size());
   }
 
+  // Guards against handing callers over to a fleet that is overloaded itself.
+  void callersAreOnlyHandedOverToRoutersThatAcceptThem() {
+    ManualClock Time;
+    PeerDirectory Peers(makeRouter("10.0.0.1", "a"), Time);
+    CPPUNIT_ASSERT(!Peers.othersAcceptCallers());
+    constexpr int Others = 8;
+    for (int Index = 0; Index < Others; ++Index) {
+      PeerReport Report =
+          makeReport(makeRouter("10.0.1." + std::to_string(Index), "a"), 1);
+      Report.Ready = Index < Others / 2;
+      Peers.accept(Report);
+    }
+    CPPUNIT_ASSERT(Peers.othersAcceptCallers());
+    PeerReport Report = makeReport(makeRouter("10.0.1.0", "a"), 2);
+    Report.Ready = false;
+    Peers.accept(Report);
+    CPPUNIT_ASSERT(!Peers.othersAcceptCallers());
+  }
+
   // Guards against losing a zone when the router that sends its digests fails.
   void backupDigestTakesOverAfterTimeout() {
     ManualClock Time;
