Make room in a full queue for a workspace that is served less

Change: a full queue displaces the latest request of its most served workspace, if that is served more than the newcomer's. Test: fullQueueKeepsTheLeastServed failed before (the newcomer was refused). Conclusion: refusals of Admission follow the shares.

--- a/include/mallowglade/detail/dataplane/admission.hpp
+++ b/include/mallowglade/detail/dataplane/admission.hpp
@@ -62,7 +62,7 @@
 /// Handles demand above the capacity of the pool. Workspaces below their
 /// max-min fair share are served first. Workspaces above it get spare capacity
 /// only and are otherwise refused at once instead of waiting in the queue until
-/// they time out.
+/// they time out. A full queue makes room for a workspace that is served less.
 class Admission {
 public:
   Admission(Placement &Placer, FairShare &Shares, const Clock &Time,
@@ -83,6 +83,13 @@
 
 private:
   bool tryPlace(QueuedRequest &Request);
+  /// @return fraction of its share that the request's workspace has used; 0 if
+  ///   the request does not count against a share
+  double shareFill(const QueuedRequest &Request);
+  /// @brief Refuses the latest queued request of the most served workspace, if
+  ///   that is served more than the workspace of the given request.
+  /// @return false if no queued request was refused
+  bool displaceMoreServed(const QueuedRequest &Request);
   bool precedes(const QueuedRequest &Left, const QueuedRequest &Right) const;
   Milliseconds retryAfter(const QueuedRequest &Request);
 
--- a/src/dataplane/admission.cpp
+++ b/src/dataplane/admission.cpp
@@ -79,7 +79,7 @@
   }
   if (Queue.empty() && tryPlace(*Request))
     return;
-  if (Queue.size() >= MaxQueuedRequests) {
+  if (Queue.size() >= MaxQueuedRequests && !displaceMoreServed(*Request)) {
     Request->refuse(Refusal::QueueFull, retryAfter(*Request));
     return;
   }
@@ -87,6 +87,30 @@
   dispatch();
 }
 
+double Admission::shareFill(const QueuedRequest &Request) {
+  return Request.HasWorkspace && !Request.PreviouslySent
+             ? Shares.shareFill(Request.ShareKey)
+             : 0;
+}
+
+bool Admission::displaceMoreServed(const QueuedRequest &Request) {
+  double HighestFill = shareFill(Request);
+  auto Displaced = Queue.rend();
+  for (auto It = Queue.rbegin(); It != Queue.rend(); ++It) {
+    const double Fill = shareFill(**It);
+    if (Fill > HighestFill) {
+      HighestFill = Fill;
+      Displaced = It;
+    }
+  }
+  if (Displaced == Queue.rend())
+    return false;
+  const std::shared_ptr<QueuedRequest> Refused = *Displaced;
+  Queue.erase(std::prev(Displaced.base()));
+  Refused->refuse(Refusal::QueueFull, retryAfter(*Refused));
+  return true;
+}
+
 bool Admission::tryPlace(QueuedRequest &Request) {
   const PlacementChoice Choice = Placer.choose(Request.Query);
   if (Choice.Upstream == nullptr)
@@ -125,10 +149,7 @@
   std::vector<Candidate> Candidates;
   Candidates.reserve(Queue.size());
   for (const auto &Queued : Queue)
-    Candidates.push_back({Queued->HasWorkspace && !Queued->PreviouslySent
-                              ? Shares.shareFill(Queued->ShareKey)
-                              : 0,
-                          Queued});
+    Candidates.push_back({shareFill(*Queued), Queued});
   std::stable_sort(Candidates.begin(), Candidates.end(),
                    [this](const Candidate &Left, const Candidate &Right) {
                      if (Left.Fill != Right.Fill)
--- a/tests/unit-dataplane-decisions.cpp
+++ b/tests/unit-dataplane-decisions.cpp
@@ -138,6 +138,7 @@
   CPPUNIT_TEST(floodingWorkspaceIsRefusedAtOnce);
   CPPUNIT_TEST(leastServedWorkspaceGetsSpareCapacityFirst);
   CPPUNIT_TEST(lastCapacityIsReservedForTheLeastServed);
+  CPPUNIT_TEST(fullQueueKeepsTheLeastServed);
   CPPUNIT_TEST(sharesDoNotLeaveCapacityIdle);
   CPPUNIT_TEST(retryDelayFitsTheLatencyObjective);
   CPPUNIT_TEST(queuedRequestIsRefusedAfterItsQueueTime);
@@ -359,6 +360,28 @@
     CPPUNIT_ASSERT(!Other.submit("ahead", 100, 100)->Placed.empty());
   }
 
+  // Guards against a queue that is full of one workspace's requests and shuts
+  // out the others.
+  void fullQueueKeepsTheLeastServed() {
+    TestRouter Node;
+    Node.fillEngines();
+    const double Window = 4 * TokensPerSecond;
+    Node.Shares.recordDemand(WorkspaceKey(stableHash("ahead")), Window);
+    Node.Shares.recordAdmitted(WorkspaceKey(stableHash("ahead")), Window / 4);
+    Node.Shares.update(TokensPerSecond);
+    std::vector<std::shared_ptr<FakeQueuedRequest>> Ahead;
+    while (Ahead.empty() || !Ahead.back()->Refused)
+      Ahead.push_back(Node.submit("ahead", 100, 100));
+    CPPUNIT_ASSERT(Ahead.back()->Refused == Refusal::QueueFull);
+    Ahead.pop_back();
+    const auto Behind = Node.submit("behind", 100, 100);
+    CPPUNIT_ASSERT(!Behind->Refused);
+    CPPUNIT_ASSERT_EQUAL(Ahead.size(), Node.Queue.waiting());
+    // The request that arrived last waits the longest.
+    CPPUNIT_ASSERT(Ahead.back()->Refused == Refusal::QueueFull);
+    CPPUNIT_ASSERT(!Ahead.front()->Refused);
+  }
+
   // Guards against refusing requests because of shares while capacity is idle.
   void sharesDoNotLeaveCapacityIdle() {
     TestRouter Node;
