Let the fault soak run with more processes and overlapping faults

Cause: the soak ran three routers and one fault at a time. Change: sizes as arguments; runs with sizes inject a fault for every eight routers at the same time and signal routers in series, while they start and while they stop. Without sizes the faults of a seed are as before, but for the zone of the fourth router on.

--- a/tests/integration/soak.cpp
+++ b/tests/integration/soak.cpp
@@ -1,10 +1,11 @@
 // Runs a small deployment as separate processes, injects faults from outside
 // and checks what callers and upstreams see.
 //
-// Usage: soak SEED SECONDS
-// The seed fixes the order and size of the faults and what callers ask; the
-// timing of processes is real. Exits with 1 and prints each finding if a
-// promise was broken; logs are kept then.
+// Usage: soak SEED SECONDS [ROUTERS REPLICAS CALLERS]
+// With sizes given, several faults are injected at the same time, and signals
+// come in series. The seed fixes the order and size of the faults and what
+// callers ask; the timing of processes is real. Exits with 1 and prints each
+// finding if a promise was broken; logs are kept then.
 
 #include <fleet.hpp>
 
@@ -27,9 +28,20 @@
 
 namespace {
 
-constexpr int Routers = 3;
-constexpr int Replicas = 6;
-constexpr int Callers = 12;
+/// Number of processes and callers of a run.
+struct Sizes {
+  int Routers = 3;
+  int Replicas = 6;
+  int Callers = 12;
+  /// Faults injected at the same time, at different routers.
+  int Injectors = 1;
+};
+
+constexpr int MaxRouters = 200;
+/// Replicas and their proxied ports share the first ports of a run.
+constexpr int MaxReplicas = 40;
+/// Routers for each injector of a run with sizes given.
+constexpr int RoutersPerInjector = 8;
 constexpr int StreamEvents = 10;
 constexpr milliseconds CallerDeadline{4'000};
 constexpr milliseconds LongestPause{1'500};
@@ -41,10 +53,12 @@
 constexpr milliseconds RecoveryBound{12'000};
 /// Ports of one run, below the range for outgoing connections.
 constexpr int FirstPort = 24'000;
-constexpr int PortsPerRun = 100;
-constexpr int Runs = 80;
+constexpr int LastPort = 32'000;
+/// Ports are reserved in blocks; the last port of a block is held as a lock.
+constexpr int BlockPorts = 100;
+constexpr int PortsPerRouter = 10;
 /// Ports that replicas register are those of the proxy.
-constexpr int ProxyOffset = 20;
+constexpr int ProxyOffset = MaxReplicas + 2;
 
 std::string binary(const std::string &Name) {
   const char *Directory = std::getenv("MALLOWGLADE_BIN_DIR");
@@ -70,40 +84,53 @@
   std::size_t Count = 0;
 };
 
-/// A block of ports that no other run uses; the last port is held as a lock,
-/// since servers of two runs can listen on the same port without an error.
-class PortBlock {
+/// Blocks of ports that no other run uses. They are locked, since servers of
+/// two runs can listen on the same port without an error.
+class PortBlocks {
 public:
-  PortBlock() : Lock(Context) {
-    for (int Try = 0; Try < Runs && !Lock.is_open(); ++Try) {
-      First = FirstPort + (::getpid() + Try) % Runs * PortsPerRun;
-      const asio::ip::tcp::endpoint Last(
-          asio::ip::make_address("127.0.0.1"),
-          static_cast<std::uint16_t>(First + PortsPerRun - 1));
-      std::error_code Taken;
-      Lock.open(Last.protocol(), Taken);
-      Lock.bind(Last, Taken);
-      if (Taken)
-        Lock.close();
+  explicit PortBlocks(int Routers)
+      : Blocks(2 + Routers * PortsPerRouter / BlockPorts) {
+    const int Starts = (LastPort - FirstPort) / BlockPorts - Blocks + 1;
+    for (int Try = 0; Try < Starts && !taken(); ++Try) {
+      First = FirstPort + (::getpid() + Try) % Starts * BlockPorts;
+      Locks.clear();
+      while (!taken() && lock(First + BlockPorts * (lockedBlocks() + 1) - 1)) {
+      }
     }
   }
   int first() const { return First; }
-  bool taken() const { return Lock.is_open(); }
+  bool taken() const { return lockedBlocks() == Blocks; }
 
 private:
+  int lockedBlocks() const { return static_cast<int>(Locks.size()); }
+  bool lock(int Port) {
+    const asio::ip::tcp::endpoint Address(asio::ip::make_address("127.0.0.1"),
+                                          static_cast<std::uint16_t>(Port));
+    asio::ip::tcp::acceptor Lock(Context);
+    std::error_code Taken;
+    Lock.open(Address.protocol(), Taken);
+    Lock.bind(Address, Taken);
+    if (!Taken)
+      Locks.push_back(std::move(Lock));
+    return !Taken;
+  }
+
   asio::io_context Context;
-  asio::ip::tcp::acceptor Lock;
+  std::vector<asio::ip::tcp::acceptor> Locks;
+  int Blocks;
   int First = 0;
 };
 
 /// The processes of a run.
 class Deployment {
 public:
-  Deployment(const std::filesystem::path &Directory, int Base)
-      : Directory(Directory), Base(Base) {
+  Deployment(const std::filesystem::path &Directory, int Base,
+             const Sizes &Size)
+      : Size(Size), Nodes(static_cast<std::size_t>(Size.Routers)),
+        Directory(Directory), Base(Base) {
     std::filesystem::create_directories(Directory);
     json Routes{{"store", route(storePort())}};
-    for (int At = 0; At < Replicas; ++At)
+    for (int At = 0; At < Size.Replicas; ++At)
       Routes[replicaName(At)] = route(replicaPort(At));
     const std::string File = (Directory / "proxy.json").string();
     std::ofstream(File) << json{
@@ -112,10 +139,10 @@
     Platform =
         start("platform",
               {binary("tests/standin-model-fleet"), std::to_string(storePort()),
-               std::to_string(replicaPort(0)), std::to_string(Replicas),
+               std::to_string(replicaPort(0)), std::to_string(Size.Replicas),
                std::to_string(ProxyOffset)});
     Proxy = start("proxy", {binary("tests/fault-proxy"), File});
-    for (int Router = 0; Router < Routers; ++Router)
+    for (int Router = 0; Router < Size.Routers; ++Router)
       startRouter(Router);
   }
 
@@ -123,7 +150,7 @@
     const int Port = routerPort(Router);
     const json Settings{
         {"name", fmt::format("router-{}", Router)},
-        {"availability_zone", Router == 0 ? "zone-a" : "zone-b"},
+        {"availability_zone", Router % 3 == 0 ? "zone-a" : "zone-b"},
         {"store", local(storePort() + ProxyOffset)},
         {"credential_freshness_ms", 5000},
         {"state_freshness_ms", 2000},
@@ -155,12 +182,15 @@
     const auto Answer = httplib::Client("127.0.0.1", storePort()).Get("/runs");
     return Answer ? json::parse(Answer->body) : json();
   }
-  int routerPort(int Router) const { return Base + 50 + 10 * Router; }
+  int routerPort(int Router) const {
+    return Base + BlockPorts + PortsPerRouter * Router;
+  }
   static std::string replicaName(int At) {
     return fmt::format("replica-{}", At);
   }
 
-  std::array<std::unique_ptr<fleet::Process>, Routers> Nodes;
+  const Sizes Size;
+  std::vector<std::unique_ptr<fleet::Process>> Nodes;
 
 private:
   int storePort() const { return Base; }
@@ -177,7 +207,7 @@
 
   std::filesystem::path Directory;
   int Base;
-  int Starts = 0;
+  std::atomic<int> Starts = 0;
   std::unique_ptr<fleet::Process> Platform;
   std::unique_ptr<fleet::Process> Proxy;
 };
@@ -186,11 +216,12 @@
 class Caller {
 public:
   Caller(const Deployment &Of, Findings &Found, int Number, std::uint64_t Seed)
-      : Of(Of), Found(Found), Number(Number), Random(Seed) {}
+      : Of(Of), Found(Found), Number(Number), Random(Seed),
+        Clients(Of.Nodes.size()) {}
 
   void run(const std::atomic<bool> &Stop) {
     while (!Stop)
-      request(static_cast<int>(Random() % Routers));
+      request(static_cast<int>(Random() % Clients.size()));
   }
 
   /// @return status; 0 without an answer
@@ -274,20 +305,28 @@
   int Number;
   std::mt19937_64 Random;
   unsigned Sent = 0;
-  std::array<std::unique_ptr<httplib::Client>, Routers> Clients;
+  std::vector<std::unique_ptr<httplib::Client>> Clients;
 };
 
 /// Injects one fault after the other; several may be in force.
 class Faults {
 public:
-  Faults(Deployment &Of, Findings &Found, std::uint64_t Seed)
-      : Of(Of), Found(Found), Random(Seed) {}
+  /// @param Number this injector; each signals routers of its own
+  Faults(Deployment &Of, Findings &Found, std::uint64_t Seed, int Number)
+      : Of(Of), Found(Found), Random(Seed), Number(Number) {}
 
   void step() {
     constexpr std::uint64_t Kinds = 11;
-    const int Router = static_cast<int>(below(Routers));
-    const std::string Replica =
-        Deployment::replicaName(static_cast<int>(below(Replicas)));
+    const int Step = Of.Size.Injectors;
+    const int Router =
+        Number + Step * static_cast<int>(below(static_cast<std::uint64_t>(
+                            (Of.Size.Routers - Number + Step - 1) / Step)));
+    const std::string Replica = Deployment::replicaName(
+        static_cast<int>(below(static_cast<std::uint64_t>(Of.Size.Replicas))));
+    if (Step > 1 && below(Kinds) == 0) {
+      signalInSeries(Router);
+      return;
+    }
     switch (below(Kinds)) {
     case 0:
       Of.Nodes[Router]->kill();
@@ -338,12 +377,29 @@
   /// Ends all faults that last.
   void mend() {
     Of.control({{"down", false}});
-    for (int At = 0; At < Replicas; ++At)
+    for (int At = 0; At < Of.Size.Replicas; ++At)
       Of.fault(Deployment::replicaName(At),
                {{"delay_ms", 0}, {"drop_new", false}, {"lose_replies", false}});
   }
 
 private:
+  /// Signals a router while it starts and while it stops.
+  void signalInSeries(int Router) {
+    Of.Nodes[Router]->signal(SIGHUP);
+    Of.Nodes[Router]->signal(SIGTERM);
+    std::this_thread::sleep_for(upTo(LongestPause));
+    Of.Nodes[Router]->signal(SIGHUP);
+    if (below(2) == 0)
+      Of.Nodes[Router]->kill();
+    else
+      Of.Nodes[Router]->wait();
+    Of.startRouter(Router);
+    std::this_thread::sleep_for(upTo(milliseconds(300)));
+    Of.Nodes[Router]->signal(SIGSTOP);
+    std::this_thread::sleep_for(upTo(milliseconds(500)));
+    Of.Nodes[Router]->signal(SIGCONT);
+  }
+
   std::uint64_t below(std::uint64_t Bound) { return Random() % Bound; }
   milliseconds upTo(milliseconds Most) {
     return milliseconds(below(static_cast<std::uint64_t>(Most.count())));
@@ -352,6 +408,7 @@
   Deployment &Of;
   Findings &Found;
   std::mt19937_64 Random;
+  int Number;
 };
 
 /// Waits until a router serves requests of all kinds.
@@ -384,38 +441,44 @@
 }
 
 std::size_t soak(std::uint64_t Seed, std::chrono::seconds Span,
-                 const std::filesystem::path &Directory) {
+                 const std::filesystem::path &Directory, const Sizes &Size) {
   Findings Found;
-  const PortBlock Ports;
+  const PortBlocks Ports(Size.Routers);
   if (!Ports.taken()) {
     Found.add("all blocks of ports are in use");
     return Found.count();
   }
-  Deployment Fleet(Directory, Ports.first());
-  Caller Prober(Fleet, Found, Callers, Seed);
-  for (int Router = 0; Router < Routers; ++Router)
+  Deployment Fleet(Directory, Ports.first(), Size);
+  Caller Prober(Fleet, Found, Size.Callers, Seed);
+  for (int Router = 0; Router < Size.Routers; ++Router)
     if (!serves(Prober, Router, RecoveryBound))
       Found.add(
           fmt::format("router {} does not serve after the start", Router));
   std::vector<std::unique_ptr<Caller>> By;
   std::vector<std::thread> Threads;
   std::atomic<bool> Stop{false};
-  for (int Number = 0; Number < Callers; ++Number) {
+  for (int Number = 0; Number < Size.Callers; ++Number) {
     By.push_back(std::make_unique<Caller>(Fleet, Found, Number, Seed + Number));
     Threads.emplace_back([&Stop, Each = By.back().get()] { Each->run(Stop); });
   }
-  Faults Injector(Fleet, Found, Seed);
   const auto End = std::chrono::steady_clock::now() + Span;
-  while (std::chrono::steady_clock::now() < End)
-    Injector.step();
-  Injector.mend();
-  for (int Router = 0; Router < Routers; ++Router)
+  std::vector<std::thread> Injectors;
+  for (int Number = 0; Number < Size.Injectors; ++Number)
+    Injectors.emplace_back([&Fleet, &Found, Seed, Number, End] {
+      Faults Injector(Fleet, Found, Seed + Number, Number);
+      while (std::chrono::steady_clock::now() < End)
+        Injector.step();
+    });
+  for (std::thread &Each : Injectors)
+    Each.join();
+  Faults(Fleet, Found, Seed, 0).mend();
+  for (int Router = 0; Router < Size.Routers; ++Router)
     if (!serves(Prober, Router, RecoveryBound))
       Found.add(fmt::format("router {} does not recover", Router));
   Stop = true;
   for (std::thread &Each : Threads)
     Each.join();
-  for (int Router = 0; Router < Routers; ++Router)
+  for (int Router = 0; Router < Size.Routers; ++Router)
     if (Fleet.Nodes[Router]->ended())
       Found.add(fmt::format("router {} ended by itself", Router));
   std::size_t Sent = 0;
@@ -436,16 +499,30 @@
 } // namespace
 
 int main(int Count, char **Arguments) {
-  if (Count != 3) {
-    fmt::print(stderr, "usage: soak SEED SECONDS\n");
+  constexpr int MinArguments = 3;
+  constexpr int AllArguments = 6;
+  Sizes Size;
+  if (Count == AllArguments) {
+    Size.Routers = std::atoi(Arguments[3]);
+    Size.Replicas = std::atoi(Arguments[4]);
+    Size.Callers = std::atoi(Arguments[5]);
+    Size.Injectors = 1 + Size.Routers / RoutersPerInjector;
+  }
+  if ((Count != MinArguments && Count != AllArguments) || Size.Routers < 1 ||
+      Size.Routers > MaxRouters || Size.Replicas < 1 ||
+      Size.Replicas > MaxReplicas || Size.Callers < 1) {
+    fmt::print(stderr,
+               "usage: soak SEED SECONDS [ROUTERS REPLICAS CALLERS]; "
+               "at most {} routers and {} replicas\n",
+               MaxRouters, MaxReplicas);
     return 2;
   }
   const std::uint64_t Seed = std::strtoull(Arguments[1], nullptr, 10);
   const std::filesystem::path Directory =
       std::filesystem::temp_directory_path() /
       fmt::format("mallowglade-soak-{}-{}", Seed, ::getpid());
-  if (soak(Seed, std::chrono::seconds(std::atoi(Arguments[2])), Directory) >
-      0) {
+  if (soak(Seed, std::chrono::seconds(std::atoi(Arguments[2])), Directory,
+           Size) > 0) {
     fmt::print("logs are in {}\n", Directory.string());
     return 1;
   }
