Probe all routers of the soak at the same time

Cause: routers were probed one after the other, so later ones had more time to recover than the bound, and a run of 24 routers took 139 s. Change: a prober for each router.

--- a/tests/integration/soak.cpp
+++ b/tests/integration/soak.cpp
@@ -423,6 +423,19 @@
       Limit);
 }
 
+/// Checks that every router serves, each with a caller of its own.
+void checkAllServe(const std::vector<std::unique_ptr<Caller>> &Probers,
+                   std::string_view When, Findings &Found) {
+  std::vector<std::thread> Threads;
+  for (std::size_t Router = 0; Router < Probers.size(); ++Router)
+    Threads.emplace_back([&, Router] {
+      if (!serves(*Probers[Router], static_cast<int>(Router), RecoveryBound))
+        Found.add(fmt::format("router {} does not serve {}", Router, When));
+    });
+  for (std::thread &Each : Threads)
+    Each.join();
+}
+
 void checkRuns(const json &Runs, const std::vector<std::unique_ptr<Caller>> &By,
                Findings &Found) {
   std::set<std::string> All;
@@ -449,11 +462,11 @@
     return Found.count();
   }
   Deployment Fleet(Directory, Ports.first(), Size);
-  Caller Prober(Fleet, Found, Size.Callers, Seed);
+  std::vector<std::unique_ptr<Caller>> Probers;
   for (int Router = 0; Router < Size.Routers; ++Router)
-    if (!serves(Prober, Router, RecoveryBound))
-      Found.add(
-          fmt::format("router {} does not serve after the start", Router));
+    Probers.push_back(
+        std::make_unique<Caller>(Fleet, Found, Size.Callers + Router, Seed));
+  checkAllServe(Probers, "after the start", Found);
   std::vector<std::unique_ptr<Caller>> By;
   std::vector<std::thread> Threads;
   std::atomic<bool> Stop{false};
@@ -472,9 +485,7 @@
   for (std::thread &Each : Injectors)
     Each.join();
   Faults(Fleet, Found, Seed, 0).mend();
-  for (int Router = 0; Router < Size.Routers; ++Router)
-    if (!serves(Prober, Router, RecoveryBound))
-      Found.add(fmt::format("router {} does not recover", Router));
+  checkAllServe(Probers, "after the faults", Found);
   Stop = true;
   for (std::thread &Each : Threads)
     Each.join();
@@ -487,7 +498,7 @@
     Sent += Each->All.size();
     Served += Each->Served;
   }
-  By.push_back(std::make_unique<Caller>(std::move(Prober)));
+  std::move(Probers.begin(), Probers.end(), std::back_inserter(By));
   checkRuns(Fleet.runs(), By, Found);
   if (Served == 0)
     Found.add("no request was served");
