Let the stand-in platform keep more connections open

Cause: the stand-in's servers hold a thread for each open connection; with 24 routers the store had none left, so routers logged time-outs of the store and refused requests for lack of a state proof. Change: 256 threads for each server of the stand-in.

--- a/tests/standins/standin-model-fleet.cpp
+++ b/tests/standins/standin-model-fleet.cpp
@@ -26,6 +26,13 @@
 
 namespace {
 
+/// Raises the number of connections that a server keeps open; each holds a
+/// thread.
+void serveManyConnections(httplib::Server &Server) {
+  constexpr std::size_t Threads = 256;
+  Server.new_task_queue = [] { return new httplib::ThreadPool(Threads); };
+}
+
 constexpr int StreamEvents = 10;
 constexpr std::chrono::milliseconds EventPause{30};
 
@@ -151,8 +158,7 @@
   void start(int Number, int Port) {
     Ports[Number] = Port;
     auto Server = std::make_shared<httplib::Server>();
-    // Each open connection holds a thread.
-    Server->new_task_queue = [] { return new httplib::ThreadPool(Threads); };
+    serveManyConnections(*Server);
     const auto Handle = [this, Number](const httplib::Request &Request,
                                        httplib::Response &Response) {
       serve(Number, Request, Response);
@@ -200,8 +206,6 @@
         });
   }
 
-  static constexpr std::size_t Threads = 32;
-
   Store &Registry;
   int Offset;
   std::mutex Mutex;
@@ -272,6 +276,7 @@
                 Count > WithoutOffset ? std::atoi(Arguments[WithoutOffset])
                                       : 0);
   httplib::Server Server;
+  serveManyConnections(Server);
   serveStore(Server, Registry);
   Server.Post("/control", [&](const httplib::Request &Request, auto &) {
     const json Order = json::parse(Request.body);
