Keep ports of the soak's stand-ins and routers apart

Cause: parallel runs with blocks of other roles: a router could not listen on a port on which a stand-in of an earlier run had closed connections (TIME-WAIT without address reuse), and stand-ins failed for lack of threads; runs then ended without a verdict and left processes behind. Change: ranges for stand-ins and routers, fewer threads, and a finding instead of an exception if the stand-in does not answer.

--- a/tests/integration/soak.cpp
+++ b/tests/integration/soak.cpp
@@ -51,9 +51,14 @@
 /// Time after the last fault within which every router serves again:
 /// `recovery_s` of the platform's smaller deployments.
 constexpr milliseconds RecoveryBound{12'000};
-/// Ports of one run, below the range for outgoing connections.
-constexpr int FirstPort = 24'000;
-constexpr int LastPort = 32'000;
+/// Routers and stand-ins use ports of different ranges: a closed connection of
+/// a stand-in keeps routers from listening on its port for a minute.
+struct PortRange {
+  int First;
+  int End;
+};
+constexpr PortRange StandInPorts{24'000, 26'000};
+constexpr PortRange RouterPorts{26'000, 32'000};
 /// Ports are reserved in blocks; the last port of a block is held as a lock.
 constexpr int BlockPorts = 100;
 constexpr int PortsPerRouter = 10;
@@ -88,11 +93,11 @@
 /// two runs can listen on the same port without an error.
 class PortBlocks {
 public:
-  explicit PortBlocks(int Routers)
-      : Blocks(2 + Routers * PortsPerRouter / BlockPorts) {
-    const int Starts = (LastPort - FirstPort) / BlockPorts - Blocks + 1;
+  PortBlocks(PortRange Range, int Ports)
+      : Blocks((Ports + BlockPorts - 1) / BlockPorts) {
+    const int Starts = (Range.End - Range.First) / BlockPorts - Blocks + 1;
     for (int Try = 0; Try < Starts && !taken(); ++Try) {
-      First = FirstPort + (::getpid() + Try) % Starts * BlockPorts;
+      First = Range.First + (::getpid() + Try) % Starts * BlockPorts;
       Locks.clear();
       while (!taken() && lock(First + BlockPorts * (lockedBlocks() + 1) - 1)) {
       }
@@ -125,9 +130,9 @@
 class Deployment {
 public:
   Deployment(const std::filesystem::path &Directory, int Base,
-             const Sizes &Size)
+             int FirstRouterPort, const Sizes &Size)
       : Size(Size), Nodes(static_cast<std::size_t>(Size.Routers)),
-        Directory(Directory), Base(Base) {
+        Directory(Directory), Base(Base), FirstRouterPort(FirstRouterPort) {
     std::filesystem::create_directories(Directory);
     json Routes{{"store", route(storePort())}};
     for (int At = 0; At < Size.Replicas; ++At)
@@ -183,7 +188,7 @@
     return Answer ? json::parse(Answer->body) : json();
   }
   int routerPort(int Router) const {
-    return Base + BlockPorts + PortsPerRouter * Router;
+    return FirstRouterPort + PortsPerRouter * Router;
   }
   static std::string replicaName(int At) {
     return fmt::format("replica-{}", At);
@@ -207,6 +212,7 @@
 
   std::filesystem::path Directory;
   int Base;
+  int FirstRouterPort;
   std::atomic<int> Starts = 0;
   std::unique_ptr<fleet::Process> Platform;
   std::unique_ptr<fleet::Process> Proxy;
@@ -427,6 +433,7 @@
 void checkAllServe(const std::vector<std::unique_ptr<Caller>> &Probers,
                    std::string_view When, Findings &Found) {
   std::vector<std::thread> Threads;
+  Threads.reserve(Probers.size());
   for (std::size_t Router = 0; Router < Probers.size(); ++Router)
     Threads.emplace_back([&, Router] {
       if (!serves(*Probers[Router], static_cast<int>(Router), RecoveryBound))
@@ -438,6 +445,10 @@
 
 void checkRuns(const json &Runs, const std::vector<std::unique_ptr<Caller>> &By,
                Findings &Found) {
+  if (!Runs.is_object()) {
+    Found.add("the stand-in platform does not tell what ran");
+    return;
+  }
   std::set<std::string> All;
   for (const auto &Each : By) {
     All.insert(Each->All.begin(), Each->All.end());
@@ -456,13 +467,15 @@
 std::size_t soak(std::uint64_t Seed, std::chrono::seconds Span,
                  const std::filesystem::path &Directory, const Sizes &Size) {
   Findings Found;
-  const PortBlocks Ports(Size.Routers);
-  if (!Ports.taken()) {
+  const PortBlocks Platform(StandInPorts, BlockPorts);
+  const PortBlocks Nodes(RouterPorts, Size.Routers * PortsPerRouter);
+  if (!Platform.taken() || !Nodes.taken()) {
     Found.add("all blocks of ports are in use");
     return Found.count();
   }
-  Deployment Fleet(Directory, Ports.first(), Size);
+  Deployment Fleet(Directory, Platform.first(), Nodes.first(), Size);
   std::vector<std::unique_ptr<Caller>> Probers;
+  Probers.reserve(Fleet.Nodes.size());
   for (int Router = 0; Router < Size.Routers; ++Router)
     Probers.push_back(
         std::make_unique<Caller>(Fleet, Found, Size.Callers + Router, Seed));
@@ -476,6 +489,7 @@
   }
   const auto End = std::chrono::steady_clock::now() + Span;
   std::vector<std::thread> Injectors;
+  Injectors.reserve(static_cast<std::size_t>(Size.Injectors));
   for (int Number = 0; Number < Size.Injectors; ++Number)
     Injectors.emplace_back([&Fleet, &Found, Seed, Number, End] {
       Faults Injector(Fleet, Found, Seed + Number, Number);
--- a/tests/standins/standin-model-fleet.cpp
+++ b/tests/standins/standin-model-fleet.cpp
@@ -26,11 +26,12 @@
 
 namespace {
 
-/// Raises the number of connections that a server keeps open; each holds a
-/// thread.
-void serveManyConnections(httplib::Server &Server) {
-  constexpr std::size_t Threads = 256;
-  Server.new_task_queue = [] { return new httplib::ThreadPool(Threads); };
+/// Connections that the store and each replica keep open; each holds a thread.
+constexpr std::size_t StoreConnections = 128;
+constexpr std::size_t ReplicaConnections = 48;
+
+void limitConnections(httplib::Server &Server, std::size_t Limit) {
+  Server.new_task_queue = [Limit] { return new httplib::ThreadPool(Limit); };
 }
 
 constexpr int StreamEvents = 10;
@@ -158,7 +159,7 @@
   void start(int Number, int Port) {
     Ports[Number] = Port;
     auto Server = std::make_shared<httplib::Server>();
-    serveManyConnections(*Server);
+    limitConnections(*Server, ReplicaConnections);
     const auto Handle = [this, Number](const httplib::Request &Request,
                                        httplib::Response &Response) {
       serve(Number, Request, Response);
@@ -276,7 +277,7 @@
                 Count > WithoutOffset ? std::atoi(Arguments[WithoutOffset])
                                       : 0);
   httplib::Server Server;
-  serveManyConnections(Server);
+  limitConnections(Server, StoreConnections);
   serveStore(Server, Registry);
   Server.Post("/control", [&](const httplib::Request &Request, auto &) {
     const json Order = json::parse(Request.body);
