--- a/tests/standins/standin-model-fleet.cpp
+++ b/tests/standins/standin-model-fleet.cpp
@@ -26,6 +26,14 @@
 
 namespace {
 
+/// Connections that the store and each replica keep open; each holds a thread.
+constexpr std::size_t StoreConnections = 128;
+constexpr std::size_t ReplicaConnections = 48;
+
+void limitConnections(httplib::Server &Server, std::size_t Limit) {
+  Server.new_task_queue = [Limit] { return new httplib::ThreadPool(Limit); };
+}
+
 constexpr int StreamEvents = 10;
 constexpr std::chrono::milliseconds EventPause{30};
 
@@ -151,8 +159,7 @@
   void start(int Number, int Port) {
     Ports[Number] = Port;
     auto Server = std::make_shared<httplib::Server>();
-    // Each open connection holds a thread.
-    Server->new_task_queue = [] { return new httplib::ThreadPool(Threads); };
+    limitConnections(*Server, ReplicaConnections);
     const auto Handle = [this, Number](const httplib::Request &Request,
                                        httplib::Response &Response) {
       serve(Number, Request, Response);
@@ -200,8 +207,6 @@
         });
   }
 
-  static constexpr std::size_t Threads = 32;
-
   Store &Registry;
   int Offset;
   std::mutex Mutex;
@@ -272,6 +277,7 @@
                 Count > WithoutOffset ? std::atoi(Arguments[WithoutOffset])
                                       : 0);
   httplib::Server Server;
+  limitConnections(Server, StoreConnections);
   serveStore(Server, Registry);
   Server.Post("/control", [&](const httplib::Request &Request, auto &) {
     const json Order = json::parse(Request.body);
