Let an aborted wait for connections end without using the server

The handler of an aborted wait used the server, which may have been destroyed. Change: it returns at once; closing the listening socket ends the wait. Conclusion: the order of handlers keeps a second wait from starting.

--- a/src/http1/server.cpp
+++ b/src/http1/server.cpp
@@ -53,14 +53,12 @@
   AcceptPending = true;
   Acceptor.async_wait(
       asio::ip::tcp::acceptor::wait_read, [this](std::error_code Error) {
+        // The server may have been destroyed.
+        if (Error == asio::error::operation_aborted)
+          return;
         AcceptPending = false;
         if (!Acceptor.is_open())
           return;
-        // The socket was closed and opened again since the wait began.
-        if (Error == asio::error::operation_aborted) {
-          accept();
-          return;
-        }
         const std::error_code AcceptError = acceptPending();
         if (!AcceptError || AcceptError == asio::error::would_block) {
           accept();
@@ -121,6 +119,7 @@
   std::error_code Ignored;
   Acceptor.close(Ignored);
   RetryTimer.cancel();
+  AcceptPending = false;
 }
 
 std::size_t Http1Server::busyConnections() const {
