--- a/include/mallowglade/detail/dataplane/overload.hpp
+++ b/include/mallowglade/detail/dataplane/overload.hpp
@@ -7,9 +7,9 @@
 /// @brief Decides what a router that lacks processor time still takes on.
 ///
 /// Handles a workspace whose callers all use one router. The scheduling delay
-/// of a periodic task shows how late the event loop is. Refusing a request
-/// takes a good part of the time of serving one, so an overloaded router does
-/// not read most of them: it pauses accepting connections and is not advertised
+/// of a periodic task shows how late the event loop is. Reading and refusing
+/// requests takes processor time, too, so an overloaded router does not read
+/// most of them: it pauses accepting connections and is not advertised
 /// to callers. Of the streams that arrive on open connections it serves those
 /// of the least served workspaces, so that what it can do goes where the fleet
 /// has done least.
--- a/include/mallowglade/detail/outcomes/claim_messages.hpp
+++ b/include/mallowglade/detail/outcomes/claim_messages.hpp
@@ -16,7 +16,7 @@
 
 /// @brief Kind of an owner's answer.
 enum class ClaimAnswerKind : std::uint8_t {
-  /// The requester holds the key and may run.
+  /// The router that sent the claim holds the key and may run the request.
   Granted = 0,
   /// Another request holds the key.
   HeldBy = 1,
--- a/src/dataplane/overload.cpp
+++ b/src/dataplane/overload.cpp
@@ -9,7 +9,8 @@
 constexpr double OverloadDelayMs = 60;
 /// Delay below which an overload ends.
 constexpr double RecoveredDelayMs = 30;
-/// Delay above which no new stream can meet the shortest latency objective.
+/// Delay above which all new streams are refused: about half of the shortest
+/// latency objective of a stream.
 constexpr double SaturationDelayMs = 240;
 constexpr double SmoothingWeight = 0.5;
 /// Time for which the router is not advertised after an overload; longer than
--- a/src/outcomes/claim_partition.cpp
+++ b/src/outcomes/claim_partition.cpp
@@ -391,8 +391,8 @@
 void ClaimPartition::answerInFlightRequests() {
   for (const ClaimRequest &Item : InFlightRequests) {
     const ClaimRecord *Record = Log.find(Item.Key);
-    // The record expired with this batch. NotOwner makes the requester retry,
-    // and the key is then free.
+    // The record expired with this batch. NotOwner makes the claiming router
+    // retry, and the key is then free.
     if (Record == nullptr)
       sendAnswer(Item, ClaimAnswer{});
     else if (Record->State == ClaimState::Released)
@@ -441,8 +441,8 @@
     answerWithoutGrant(Item, Confirmed);
 }
 
-/// Reports another holder or refuses. Does not grant the requester's own claim
-/// either, because its release may already be queued.
+/// Reports another holder or refuses. Does not grant the claiming router's own
+/// claim either, because its release may already be queued.
 void ClaimPartition::answerWithoutGrant(const ClaimRequest &Message,
                                         bool Confirmed) {
   const ClaimRecord *Record = Log.find(Message.Key);
--- a/tests/unit-dataplane-decisions.cpp
+++ b/tests/unit-dataplane-decisions.cpp
@@ -505,13 +505,16 @@
     OverloadDetector Overload;
     Overload.sample(Milliseconds(5), Time.now());
     CPPUNIT_ASSERT(!Overload.overloaded());
+    CPPUNIT_ASSERT(!Overload.refusesStream(false));
     for (int Round = 0; Round < 4; ++Round)
       Overload.sample(Milliseconds(150), Time.now());
     CPPUNIT_ASSERT(Overload.overloaded());
+    CPPUNIT_ASSERT(Overload.refusesStream(false));
     CPPUNIT_ASSERT(Overload.withheldFromCallers(Time.now()));
     for (int Round = 0; Round < 8; ++Round)
       Overload.sample(Milliseconds(0), Time.now());
     CPPUNIT_ASSERT(!Overload.overloaded());
+    CPPUNIT_ASSERT(!Overload.refusesStream(false));
     CPPUNIT_ASSERT(Overload.withheldFromCallers(Time.now()));
     Time.advance(std::chrono::seconds(4));
     CPPUNIT_ASSERT(!Overload.withheldFromCallers(Time.now()));
