Log how the end of an upstream's response was determined

Change: the request line has the framing of the last response, the bytes of its body and the bytes of an event that did not end.

--- a/include/mallowglade/detail/dataplane/request_run.hpp
+++ b/include/mallowglade/detail/dataplane/request_run.hpp
@@ -84,6 +84,8 @@
   /// first attempt that received one.
   std::optional<http1::ResponseHead> RelayedHead;
   std::string BufferedBody;
+  /// Bytes received of the body of the current attempt's response.
+  std::size_t BodyBytes = 0;
   EventStream Events;
   /// Attempts that the upstream did not execute: it refused the request, or no
   /// byte of the request was sent.
--- a/include/mallowglade/detail/http1/event_stream.hpp
+++ b/include/mallowglade/detail/http1/event_stream.hpp
@@ -16,6 +16,8 @@
   /// @brief Appends bytes received from an upstream.
   /// @return the bytes of all events that are now complete, unchanged
   std::string feed(std::string_view Bytes);
+  /// @return number of bytes received of an event that is not complete
+  std::size_t incompleteBytes() const { return PendingBytes.size(); }
   /// @brief Discards an incomplete event; call before feeding a resumed stream.
   void reset();
   /// @return value of the last `id:` field of a complete event; empty if none
--- a/include/mallowglade/detail/http1/message.hpp
+++ b/include/mallowglade/detail/http1/message.hpp
@@ -49,6 +49,9 @@
 /// @brief How the end of a response body is determined.
 enum class BodyFraming { None, Length, Chunked, UntilClose };
 
+/// @return name of the framing in logs
+std::string_view toString(BodyFraming Framing);
+
 /// @brief Status line and header fields of a response.
 struct ResponseHead {
   unsigned Status = 0;
--- a/src/dataplane/request_run.cpp
+++ b/src/dataplane/request_run.cpp
@@ -125,8 +125,10 @@
   SentAt = Proxy.Time.now();
   Handling = BodyHandling::AwaitHead;
   BufferedBody.clear();
+  BodyBytes = 0;
   Events.reset();
   Response = ResponseMetadata();
+  Head = http1::ResponseHead();
   Dispatched = true;
   Connection = Proxy.Pool.acquire(TargetUpstream.Address);
   Connection->send(buildForwardedRequest(*Choice.Upstream),
@@ -189,6 +191,7 @@
 }
 
 void RequestRun::onResponseBody(std::string_view Data) {
+  BodyBytes += Data.size();
   if (Handling == BodyHandling::Relay) {
     relay(Data);
     return;
@@ -457,6 +460,9 @@
        {"waited_ms", std::int64_t(QueueTime.count())},
        {"first_event_ms", std::int64_t(FirstEventDelay.count())},
        {"took_ms", std::int64_t(TotalTime.count())},
+       {"framing", http1::toString(Head.Framing)},
+       {"body_bytes", std::int64_t(BodyBytes)},
+       {"incomplete_event_bytes", std::int64_t(Events.incompleteBytes())},
        {"share_fill", HasWorkspace ? Proxy.Shares.shareFill(ShareKey) : 0.0},
        {"config", std::int64_t(Config->Version.Value)}});
 }
--- a/src/http1/message.cpp
+++ b/src/http1/message.cpp
@@ -42,6 +42,20 @@
   return Count;
 }
 
+std::string_view toString(BodyFraming Framing) {
+  switch (Framing) {
+  case BodyFraming::None:
+    return "none";
+  case BodyFraming::Length:
+    return "length";
+  case BodyFraming::Chunked:
+    return "chunked";
+  case BodyFraming::UntilClose:
+    return "until_close";
+  }
+  return "none";
+}
+
 bool equalsIgnoreCase(std::string_view Left, std::string_view Right) {
   return Left.size() == Right.size() &&
          strncasecmp(Left.data(), Right.data(), Left.size()) == 0;
