Decide in one place whether an upstream's response is whole

Cause: the end of the message, as its framing tells it, was taken for the end of the stream. A stream with neither length nor chunks ends with its connection, and an upstream that breaks off may close it without a reset, inside an event. The incomplete event was dropped and the last chunk sent.

Change: ResponseReader decides without network what of a response is passed on and whether it is whole. A stream that ends inside an event, by whatever framing, or with its connection before any event, has broken off: it is resumed, or the caller's connection closed without the last chunk. Same cause, same place: an error to the rest of a stream left the caller without an end; a stream without signature was passed on before it was rejected; a stream repeated before its first event had the head of the first upstream; lines that end with CRLF never ended an event; a single event or a dropped body had no bound. EventStream tells whether it is inside an event.

--- a/include/mallowglade/detail/dataplane/request_run.hpp
+++ b/include/mallowglade/detail/dataplane/request_run.hpp
@@ -1,7 +1,7 @@
 #pragma once
 
+#include <mallowglade/detail/dataplane/response_reader.hpp>
 #include <mallowglade/detail/dataplane/traffic.hpp>
-#include <mallowglade/detail/http1/event_stream.hpp>
 #include <mallowglade/outcomes.hpp>
 
 #include <memory>
@@ -37,9 +37,6 @@
   void onExchangeFailed(http1::ExchangeFailure Failure) override;
 
 private:
-  /// How the body of the current response is handled.
-  enum class BodyHandling { AwaitHead, Discard, Buffer, Relay };
-
   Milliseconds timeLeft() const;
   std::string buildForwardedRequest(const UpstreamState &Destination) const;
   void armDeadline();
@@ -51,8 +48,13 @@
   void retryOrFail(AttemptFailure Failure, std::string_view Cause);
   void respondWithError(unsigned Status, std::string_view Cause,
                         std::optional<Milliseconds> RetryAfter);
+  /// @brief Ends an attempt whose upstream did not execute the request.
+  void endRefusedAttempt(bool KeepConnection);
+  /// @brief Ends an attempt whose response cannot be passed on.
+  void failResponse(ResponseFault Fault);
   void beginRelay();
-  void relay(std::string_view Data);
+  /// @brief Passes on what the reader releases of the response's body.
+  void relay();
   /// @brief Records the outcome; later calls have no effect.
   void complete(std::string_view Outcome, unsigned Status);
   http1::HeaderList responseFields(const http1::ResponseHead &Head) const;
@@ -76,17 +78,9 @@
   /// Load that this request adds to `TargetUpstream` in the upstream table.
   UpstreamLoad ReservedLoad;
   TimePoint SentAt{};
-  BodyHandling Handling = BodyHandling::AwaitHead;
-  ResponseMetadata Response;
+  ResponseReader Reader;
   /// Head of the response of the current attempt.
   http1::ResponseHead Head;
-  /// Head that a relayed response starts with; for a stream, the head of the
-  /// first attempt that received one.
-  std::optional<http1::ResponseHead> RelayedHead;
-  std::string BufferedBody;
-  /// Bytes received of the body of the current attempt's response.
-  std::size_t BodyBytes = 0;
-  EventStream Events;
   /// Attempts that the upstream did not execute: it refused the request, or no
   /// byte of the request was sent.
   unsigned UnexecutedAttempts = 0;
--- a/include/mallowglade/detail/http1/event_stream.hpp
+++ b/include/mallowglade/detail/http1/event_stream.hpp
@@ -7,7 +7,8 @@
 
 namespace mallowglade {
 
-/// @brief Splits a stream of server-sent events (SSE) into complete events.
+/// @brief Splits a stream of server-sent events (SSE) into complete events,
+///   whose lines end with `\n` or `\r\n`.
 ///
 /// Only complete events are forwarded, so that a stream can be resumed after
 /// the last one without duplicated or missing bytes.
@@ -18,6 +19,11 @@
   std::string feed(std::string_view Bytes);
   /// @return number of bytes received of an event that is not complete
   std::size_t incompleteBytes() const { return PendingBytes.size(); }
+  /// @return true if an event has begun and is not complete
+  bool insideEvent() const;
+  /// @brief Takes the bytes after the last complete event at the end of a
+  ///   stream.
+  std::string takeRest();
   /// @brief Discards an incomplete event; call before feeding a resumed stream.
   void reset();
   /// @return value of the last `id:` field of a complete event; empty if none
--- a/src/dataplane/request_run.cpp
+++ b/src/dataplane/request_run.cpp
@@ -7,10 +7,6 @@
 
 namespace {
 
-/// A response is buffered until it is complete, so that a truncated one can be
-/// retried or reported as an error. On routes without streaming, a successful
-/// response larger than this is relayed as it arrives.
-constexpr std::size_t MaxBufferedBodyBytes = 262'144;
 /// Bytes not yet taken by the caller above which reading from the upstream
 /// pauses.
 constexpr std::size_t HighWaterMarkBytes = 131'072;
@@ -30,6 +26,8 @@
   return Status == 408 || Status == 421 || Status == 429 || Status == 503;
 }
 
+bool isSuccess(unsigned Status) { return Status < 300; }
+
 std::string formatSeconds(Milliseconds Duration) {
   return fmt::format("{:.2f}", std::chrono::duration<double>(Duration).count());
 }
@@ -45,7 +43,8 @@
     : Proxy(Proxy), Exchange(std::move(Exchange)),
       Metadata(std::move(Metadata)), Config(std::move(Config)),
       MatchedRoute(MatchedRoute), Workspace(std::move(Workspace)),
-      Fingerprint(Fingerprint), DeadlineTimer(Proxy.Context) {}
+      Fingerprint(Fingerprint), DeadlineTimer(Proxy.Context),
+      Reader(MatchedRoute.Streaming) {}
 
 void RequestRun::start() {
   Arrived = Proxy.Time.now();
@@ -123,11 +122,7 @@
           : "";
   Proxy.Upstreams.add(TargetUpstream.Id, ReservedLoad);
   SentAt = Proxy.Time.now();
-  Handling = BodyHandling::AwaitHead;
-  BufferedBody.clear();
-  BodyBytes = 0;
-  Events.reset();
-  Response = ResponseMetadata();
+  Reader.reset();
   Head = http1::ResponseHead();
   Dispatched = true;
   Connection = Proxy.Pool.acquire(TargetUpstream.Address);
@@ -146,7 +141,7 @@
       .append(" ")
       .append(CallerHead.Target)
       .append(" HTTP/1.1\r\n");
-  const bool ResumesStream = !Events.lastEventId().empty();
+  const bool ResumesStream = !Reader.lastEventId().empty();
   for (const http1::HeaderField &Field : CallerHead.Headers.fields()) {
     if (http1::isHopByHop(Field.Name, CallerHead.Headers) ||
         Proxy.Wire.isRouterOnlyField(Field.Name) ||
@@ -166,7 +161,7 @@
   Fields.Workspace = Workspace;
   Fields.KvCacheSource = KvCacheSource;
   if (ResumesStream)
-    Fields.LastEventId = Events.lastEventId();
+    Fields.LastEventId = Reader.lastEventId();
   Proxy.Wire.appendForwardFields(Message, Fields);
   if (!Exchange->Body.empty() ||
       (CallerHead.Method != "GET" && CallerHead.Method != "HEAD"))
@@ -177,37 +172,19 @@
 }
 
 void RequestRun::onResponseHead(http1::ResponseHead &Received) {
-  Response = Proxy.Wire.readResponse(Received);
   Head = std::move(Received);
-  if (Response.NotExecuted) {
-    Handling = BodyHandling::Discard;
-    return;
-  }
-  const bool IsStream = MatchedRoute.Streaming && Head.Status == 200 &&
-                        Head.Framing != http1::BodyFraming::Length;
-  if (IsStream && !RelayedHead)
-    RelayedHead = Head;
-  Handling = IsStream ? BodyHandling::Relay : BodyHandling::Buffer;
+  const ResponseFault Fault =
+      Reader.begin(Head, Proxy.Wire.readResponse(Head), RelayStarted);
+  if (Fault != ResponseFault::None)
+    failResponse(Fault);
 }
 
 void RequestRun::onResponseBody(std::string_view Data) {
-  BodyBytes += Data.size();
-  if (Handling == BodyHandling::Relay) {
-    relay(Data);
-    return;
-  }
-  if (Handling != BodyHandling::Buffer)
-    return;
-  BufferedBody.append(Data);
-  const bool Success = Head.Status < 300;
-  if (BufferedBody.size() > MaxBufferedBodyBytes && Success &&
-      !MatchedRoute.Streaming) {
-    RelayedHead = Head;
-    Handling = BodyHandling::Relay;
-    const std::string Buffered = std::move(BufferedBody);
-    beginRelay();
-    Exchange->send(Buffered);
-  }
+  const ResponseFault Fault = Reader.receive(Data);
+  if (Reader.relaysBody())
+    relay();
+  if (Fault != ResponseFault::None)
+    failResponse(Fault);
 }
 
 void RequestRun::recordFirstEvent() {
@@ -235,22 +212,17 @@
     if (Self && Self->Connection)
       Self->Connection->resume();
   };
-  Exchange->startBody(RelayedHead->Status, responseFields(*RelayedHead));
+  Exchange->startBody(Head.Status, responseFields(Head));
 }
 
-void RequestRun::relay(std::string_view Data) {
-  std::string CompleteEvents;
-  if (MatchedRoute.Streaming) {
-    // Only complete events are relayed, so that another upstream can resume the
-    // stream after the last one.
-    CompleteEvents = Events.feed(Data);
-    if (CompleteEvents.empty())
-      return;
+void RequestRun::relay() {
+  const std::string Bytes = Reader.takeRelayable();
+  if (Bytes.empty())
+    return;
+  if (Reader.handling() == ResponseReader::Handling::RelayEvents)
     recordFirstEvent();
-    Data = CompleteEvents;
-  }
   beginRelay();
-  Exchange->send(Data);
+  Exchange->send(Bytes);
   if (Exchange->unsentBytes() > HighWaterMarkBytes && Connection)
     Connection->pause();
 }
@@ -268,31 +240,51 @@
 void RequestRun::onResponseEnd() {
   if (Done)
     return;
-  if (Handling == BodyHandling::Discard) {
-    ++UnexecutedAttempts;
-    endAttempt(true);
-    retryOrFail(AttemptFailure::RefusedByUpstream, "upstream_refused");
+  if (Reader.handling() == ResponseReader::Handling::Discard) {
+    endRefusedAttempt(true);
     return;
   }
-  const bool Success = Head.Status < 300;
-  if (Success && !Response.Signed) {
-    endAttempt(false);
-    retryOrFail(AttemptFailure::Interrupted, "answer_unsigned");
+  const ResponseFault Fault = Reader.end();
+  if (Fault != ResponseFault::None) {
+    failResponse(Fault);
     return;
   }
+  if (Reader.relaysBody())
+    relay();
   endAttempt(true);
   Proxy.Upstreams.answered(TargetUpstream.Id);
   Proxy.Crashes.recordAnswered(Fingerprint);
-  if (Handling == BodyHandling::Buffer) {
+  if (!Reader.relaysBody()) {
     Exchange->OnDisconnected = nullptr;
-    Exchange->respond(Head.Status, responseFields(Head), BufferedBody);
-    complete(Success ? "answered" : "upstream_status", Head.Status);
+    Exchange->respond(Head.Status, responseFields(Head), Reader.bufferedBody());
+    complete(isSuccess(Head.Status) ? "answered" : "upstream_status",
+             Head.Status);
     return;
   }
   beginRelay();
   Exchange->OnDisconnected = nullptr;
   Exchange->finish();
-  complete("answered", Head.Status);
+  complete(isSuccess(Head.Status) ? "answered" : "upstream_status",
+           Head.Status);
+}
+
+void RequestRun::endRefusedAttempt(bool KeepConnection) {
+  ++UnexecutedAttempts;
+  endAttempt(KeepConnection);
+  retryOrFail(AttemptFailure::RefusedByUpstream, "upstream_refused");
+}
+
+void RequestRun::failResponse(ResponseFault Fault) {
+  if (Reader.handling() == ResponseReader::Handling::Discard) {
+    endRefusedAttempt(false);
+    return;
+  }
+  endAttempt(false);
+  if (Fault == ResponseFault::BrokenOff) {
+    Proxy.Upstreams.failed(TargetUpstream.Id);
+    Proxy.Crashes.recordInterrupted(Fingerprint);
+  }
+  retryOrFail(AttemptFailure::Interrupted, toString(Fault));
 }
 
 void RequestRun::onExchangeFailed(http1::ExchangeFailure Failure) {
@@ -342,7 +334,7 @@
   }
   const bool WasRelaying = RelayStarted;
   const bool MayRetry =
-      (WasRelaying ? MatchedRoute.Resumable && !Events.lastEventId().empty()
+      (WasRelaying ? MatchedRoute.Resumable && !Reader.lastEventId().empty()
                    : true) &&
       !Proxy.Crashes.shouldRefuse(Fingerprint);
   History.RetryAllowed = MayRetry && timeLeft().count() > 0 &&
@@ -461,8 +453,8 @@
        {"first_event_ms", std::int64_t(FirstEventDelay.count())},
        {"took_ms", std::int64_t(TotalTime.count())},
        {"framing", http1::toString(Head.Framing)},
-       {"body_bytes", std::int64_t(BodyBytes)},
-       {"incomplete_event_bytes", std::int64_t(Events.incompleteBytes())},
+       {"body_bytes", std::int64_t(Reader.bodyBytes())},
+       {"incomplete_event_bytes", std::int64_t(Reader.incompleteEventBytes())},
        {"share_fill", HasWorkspace ? Proxy.Shares.shareFill(ShareKey) : 0.0},
        {"config", std::int64_t(Config->Version.Value)}});
 }
