Bound the bytes of a response that are not its body

Cause: informational responses, responses to earlier requests and chunk extensions were read for as long as an upstream sent them, and kept the event loop busy until the deadline.

Change: heads, framing and responses to earlier requests may take 256 KiB and eight bytes for each byte of the body; then the connection is closed and the response counts as malformed. The tests also hold what was bounded before, that a stalled stream ends at its deadline and that a slow one is not cut.

--- a/include/mallowglade/detail/http1/upstream_connection.hpp
+++ b/include/mallowglade/detail/http1/upstream_connection.hpp
@@ -6,6 +6,7 @@
 #include <asio/steady_timer.hpp>
 
 #include <chrono>
+#include <cstdint>
 #include <functional>
 #include <memory>
 #include <string>
@@ -21,7 +22,8 @@
   ClosedBeforeUse,
   /// The connection failed after the request may have been sent.
   Interrupted,
-  /// The bytes received are not a valid response.
+  /// The bytes received are not a valid response, or too few of them belong to
+  /// its body.
   Malformed,
 };
 
@@ -92,6 +94,9 @@
   void onReadable(std::error_code Error);
   void consume(std::string_view Data);
   void onEnd(std::error_code Error);
+  /// @return true if more was received than heads, framing and responses to
+  ///   earlier requests may take
+  bool tooMuchOverhead() const;
   void messageComplete();
   void fail(ExchangeFailure Failure);
   void closeSocket();
@@ -109,6 +114,10 @@
   std::string Held;
   std::chrono::steady_clock::time_point IdleSince{};
   std::chrono::seconds IdleLimit{0};
+  /// Bytes received since the request was sent, and those of them that belong
+  /// to the body of its response.
+  std::uint64_t ReceivedBytes = 0;
+  std::uint64_t BodyBytes = 0;
   unsigned RequestCount = 0;
   bool Connected = false;
   bool Closed = false;
--- a/src/http1/upstream_connection.cpp
+++ b/src/http1/upstream_connection.cpp
@@ -15,6 +15,10 @@
 constexpr std::size_t ReadBytes = 16'384;
 constexpr std::size_t MaxHeadBytes = 16'384;
 constexpr unsigned FirstFinalStatus = 200;
+/// Bytes of a response that may be no part of its body: heads, responses to
+/// earlier requests, and for each byte of the body the framing of a chunk.
+constexpr std::uint64_t MaxOverheadBytes = 262'144;
+constexpr std::uint64_t MaxChunkOverheadBytes = 8;
 /// TCP keep-alive probes on a connection without traffic.
 constexpr int KeepAliveIdleSeconds = 1;
 constexpr int KeepAliveIntervalSeconds = 1;
@@ -61,6 +65,7 @@
   Observer = std::move(Receiver);
   OnClosed = nullptr;
   RequestWritten = AnyByteSent = StaleResponse = Paused = false;
+  ReceivedBytes = BodyBytes = 0;
   ++RequestCount;
   Parser.reset(NoBody);
   if (Connected)
@@ -155,7 +160,13 @@
     read();
 }
 
+bool UpstreamConnection::tooMuchOverhead() const {
+  return ReceivedBytes - BodyBytes >
+         MaxOverheadBytes + MaxChunkOverheadBytes * BodyBytes;
+}
+
 void UpstreamConnection::consume(std::string_view Data) {
+  ReceivedBytes += Data.size();
   while (!Data.empty() && !Closed) {
     if (!Observer) {
       // Bytes after a complete response do not belong to any request.
@@ -166,7 +177,7 @@
     if (Closed)
       return;
     Data.remove_prefix(Consumed);
-    if (Parser.error() != ParseError::None) {
+    if (Parser.error() != ParseError::None || tooMuchOverhead()) {
       fail(ExchangeFailure::Malformed);
       return;
     }
@@ -197,8 +208,11 @@
 }
 
 void UpstreamConnection::onBody(std::string_view Data) {
+  if (StaleResponse)
+    return;
+  BodyBytes += Data.size();
   const auto Receiver = Observer;
-  if (Receiver && !StaleResponse)
+  if (Receiver)
     Receiver->onResponseBody(Data);
 }
 
--- a/tests/support/proxy_harness.cpp
+++ b/tests/support/proxy_harness.cpp
@@ -62,6 +62,12 @@
   asio::write(Socket, asio::buffer(Data), Ignored);
 }
 
+std::size_t UpstreamSession::trySend(const std::string &Data) {
+  std::error_code Ignored;
+  Socket.non_blocking(true, Ignored);
+  return Socket.write_some(asio::buffer(Data), Ignored);
+}
+
 void UpstreamSession::close() {
   std::error_code Ignored;
   Socket.shutdown(asio::ip::tcp::socket::shutdown_both, Ignored);
--- a/tests/support/proxy_harness.hpp
+++ b/tests/support/proxy_harness.hpp
@@ -17,6 +17,9 @@
   explicit UpstreamSession(asio::ip::tcp::socket Socket)
       : Socket(std::move(Socket)) {}
   void send(const std::string &Bytes);
+  /// Sends what fits into the socket's buffer, without waiting.
+  /// @return number of bytes sent
+  std::size_t trySend(const std::string &Bytes);
   /// Shuts the connection down and closes it, after the bytes sent so far.
   void close();
   /// Closes the connection with a TCP reset.
