Reset responses that break off where the connection ends the body

Cause: for a caller of HTTP/1.0, the end of the connection ends a body of unknown length. A stream that was aborted, or whose router ended, closed the connection as a complete one does. And the response to HEAD on a route for streams could have a last chunk, which a caller takes for the next response.

Change: such a connection has a linger time of zero until the body is complete, so that the operating system resets it, also when the process is killed. Responses to HEAD, 204 and 304 have no body whatever is sent.

--- a/include/mallowglade/detail/http1/server.hpp
+++ b/include/mallowglade/detail/http1/server.hpp
@@ -87,6 +87,10 @@
   void startTimer(std::chrono::milliseconds Delay);
   void onTimer();
   void releaseBody();
+  /// @brief Decides whether closing the connection now resets it.
+  void setResetOnClose(bool Reset);
+  /// @brief Closes the connection after a complete response.
+  void closeCompleted();
   /// @return true if bytes have arrived that were not read
   bool hasUnreadInput();
   void markIdle();
--- a/include/mallowglade/detail/http1/server_exchange.hpp
+++ b/include/mallowglade/detail/http1/server_exchange.hpp
@@ -42,6 +42,10 @@
   void respond(unsigned Status, const HeaderList &Fields,
                std::string_view Payload);
   /// @brief Sends the head of a response whose body length is not known.
+  ///
+  /// For a client that does not understand chunks, the end of the connection
+  /// ends the body; an incomplete response then ends with a TCP reset, also if
+  /// the process ends.
   void startBody(unsigned Status, const HeaderList &Fields);
   /// @brief Sends a part of the body.
   void send(std::string_view Data);
@@ -65,6 +69,8 @@
   std::weak_ptr<ServerConnection> Connection;
   bool Started = false;
   bool Chunked = false;
+  /// True if the response to this request has no body, whatever is sent.
+  bool Bodyless = false;
 };
 
 } // namespace mallowglade::http1
--- a/src/http1/server_connection.cpp
+++ b/src/http1/server_connection.cpp
@@ -21,6 +21,10 @@
 /// connection is closed.
 constexpr std::chrono::milliseconds LingerTimeout{1'000};
 
+bool hasNoBody(std::string_view Method, unsigned Status) {
+  return Method == "HEAD" || Status == 204 || Status == 304;
+}
+
 } // namespace
 
 ServerConnection::ServerConnection(asio::ip::tcp::socket ClientSocket,
@@ -79,6 +83,20 @@
   }
 }
 
+void ServerConnection::setResetOnClose(bool Reset) {
+  // With a linger time of zero, the operating system resets the connection when
+  // the socket is closed, also when it closes those of a process that ended.
+  const linger Option{Reset ? 1 : 0, 0};
+  ::setsockopt(Socket.native_handle(), SOL_SOCKET, SO_LINGER, &Option,
+               sizeof(Option));
+}
+
+void ServerConnection::closeCompleted() {
+  if (!Closed)
+    setResetOnClose(false);
+  close();
+}
+
 void ServerConnection::drain() {
   CloseAfterResponse = true;
   if (!idle())
@@ -294,7 +312,7 @@
   if (DiscardingInput)
     startLingeringClose();
   else
-    close();
+    closeCompleted();
 }
 
 void ServerConnection::onResponseComplete() {
@@ -304,7 +322,7 @@
     return;
   if (CloseAfterResponse) {
     if (QueuedOutput.empty() && WriteBuffer.empty())
-      close();
+      closeCompleted();
     return;
   }
   startTimer(Server.Limits.IdleTimeout);
@@ -344,11 +362,11 @@
     return;
   Started = true;
   std::string Message = LockedConnection->formatHead(Status, Fields);
-  const bool NoBody = Status == 204 || Status == 304;
-  if (!NoBody)
+  Bodyless = hasNoBody(Head.Method, Status);
+  if (!Bodyless)
     appendField(Message, "Content-Length", std::to_string(Payload.size()));
   Message.append("\r\n");
-  if (Head.Method != "HEAD" && !NoBody)
+  if (!Bodyless)
     Message.append(Payload);
   LockedConnection->write(Message);
   LockedConnection->onResponseComplete();
@@ -360,9 +378,12 @@
       Started)
     return;
   Started = true;
-  Chunked = Head.MinorVersion >= 1;
-  if (!Chunked)
+  Bodyless = hasNoBody(Head.Method, Status);
+  Chunked = Head.MinorVersion >= 1 && !Bodyless;
+  if (!Chunked && !Bodyless) {
     LockedConnection->CloseAfterResponse = true;
+    LockedConnection->setResetOnClose(true);
+  }
   std::string Message = LockedConnection->formatHead(Status, Fields);
   if (Chunked)
     appendField(Message, "Transfer-Encoding", "chunked");
@@ -373,7 +394,7 @@
 void ServerExchange::send(std::string_view Data) {
   const auto LockedConnection = Connection.lock();
   if (!LockedConnection || LockedConnection->ActiveExchange.get() != this ||
-      Data.empty())
+      Data.empty() || Bodyless)
     return;
   if (!Chunked) {
     LockedConnection->write(Data);
--- a/tests/unit-http1-server.cpp
+++ b/tests/unit-http1-server.cpp
@@ -36,20 +36,61 @@
   }
 
   /// Connects and sends a request; the server does not run meanwhile.
-  asio::ip::tcp::socket sendRequest(asio::io_context &Client) const {
+  asio::ip::tcp::socket sendRequest(asio::io_context &Client,
+                                    std::string_view Bytes = Request) const {
     asio::ip::tcp::socket Socket(Client);
     Socket.connect(Address);
-    asio::write(Socket, asio::buffer(std::string_view(Request)));
+    asio::write(Socket, asio::buffer(Bytes));
     return Socket;
   }
 };
 
+/// Server that begins a response without a length and leaves it open.
+struct StreamFixture {
+  asio::io_context Context;
+  asio::ip::tcp::endpoint Address{asio::ip::make_address("127.0.0.1"),
+                                  ServerFixture::freePort()};
+  std::shared_ptr<ServerExchange> Exchange;
+  std::unique_ptr<Http1Server> Server = std::make_unique<Http1Server>(
+      Context, Address, Limits,
+      [this](const std::shared_ptr<ServerExchange> &Received) {
+        Exchange = Received;
+        Exchange->startBody(200, {});
+        Exchange->send("part");
+      });
+  asio::io_context Client;
+  asio::ip::tcp::socket Socket{Client};
+
+  explicit StreamFixture(std::string_view Request) {
+    CPPUNIT_ASSERT(!Server->listen());
+    Socket.connect(Address);
+    asio::write(Socket, asio::buffer(Request));
+    Context.run_for(std::chrono::milliseconds(50));
+    CPPUNIT_ASSERT(Exchange);
+  }
+  void run() {
+    Context.restart();
+    Context.run_for(std::chrono::milliseconds(50));
+  }
+  /// Reads until the connection ends.
+  std::string readAll(std::error_code &End) {
+    std::string Bytes;
+    asio::read(Socket, asio::dynamic_buffer(Bytes), End);
+    return Bytes;
+  }
+};
+
+constexpr std::string_view OldRequest = "GET /x HTTP/1.0\r\nHost: a\r\n\r\n";
+
 } // namespace
 
 class Http1ServerTest : public CppUnit::TestFixture {
   CPPUNIT_TEST_SUITE(Http1ServerTest);
   CPPUNIT_TEST(requestsSentBeforeListeningEndsAreAnswered);
   CPPUNIT_TEST(connectionIsBusyUntilItsResponseIsSent);
+  CPPUNIT_TEST(brokenOffResponseWithoutFramingEndsWithAReset);
+  CPPUNIT_TEST(completeResponseWithoutFramingEndsWithoutAReset);
+  CPPUNIT_TEST(responseToHeadHasNoBody);
   CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -101,6 +142,54 @@
     Fixture.Context.run_for(std::chrono::milliseconds(100));
     CPPUNIT_ASSERT_EQUAL(std::size_t(0), Fixture.Server.busyConnections());
   }
+
+  // Guards against a response to an HTTP/1.0 client that breaks off, or whose
+  // server ends, and looks complete: the end of the connection ends its body.
+  void brokenOffResponseWithoutFramingEndsWithAReset() {
+    for (const bool ServerEnds : {false, true}) {
+      StreamFixture Fixture(OldRequest);
+      if (ServerEnds)
+        Fixture.Server.reset();
+      else
+        Fixture.Exchange->abort();
+      std::error_code End;
+      const std::string Bytes = Fixture.readAll(End);
+      CPPUNIT_ASSERT(Bytes.find("Transfer-Encoding") == std::string::npos);
+      CPPUNIT_ASSERT(End == asio::error::connection_reset);
+    }
+  }
+
+  // Guards against a reset that makes a complete response look broken off.
+  void completeResponseWithoutFramingEndsWithoutAReset() {
+    StreamFixture Fixture(OldRequest);
+    // More than the socket buffers of both ends hold.
+    const std::string Rest(std::size_t(16) << 20U, 'x');
+    Fixture.Exchange->send(Rest);
+    Fixture.Exchange->finish();
+    std::string Received;
+    std::vector<char> Bytes(std::size_t(1) << 20U);
+    std::error_code End;
+    while (!End) {
+      Fixture.run();
+      const std::size_t Size =
+          Fixture.Socket.read_some(asio::buffer(Bytes), End);
+      Received.append(Bytes.data(), Size);
+    }
+    CPPUNIT_ASSERT(End == asio::error::eof);
+    CPPUNIT_ASSERT(Received.ends_with("part" + Rest));
+  }
+
+  // Guards against the end of a chunked body after the head of a response to
+  // HEAD: a client takes it for the next response.
+  void responseToHeadHasNoBody() {
+    StreamFixture Fixture("HEAD /x HTTP/1.1\r\nHost: a\r\n\r\n");
+    Fixture.Exchange->finish();
+    Fixture.Exchange.reset();
+    Fixture.run();
+    Fixture.Server.reset();
+    std::error_code End;
+    CPPUNIT_ASSERT(Fixture.readAll(End).ends_with("OK\r\n\r\n"));
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(Http1ServerTest);
