--- a/src/router/answer_fetch.cpp
+++ b/src/router/answer_fetch.cpp
@@ -1,5 +1,6 @@
 #include <mallowglade/detail/router/answer_fetch.hpp>
 
+#include <mallowglade/http1.hpp>
 #include <mallowglade/settings.hpp>
 
 #include <httplib.h>
@@ -33,20 +34,21 @@
       Whole.append(Bytes);
       return;
     }
-    Seen += Bytes.size();
-    if (Seen <= Skip)
-      return;
-    Target.append(
-        Bytes.substr(Bytes.size() - std::min(Bytes.size(), Seen - Skip)));
+    passOn(Events.feed(Bytes));
   }
 
   FetchResult end(bool Complete) {
     FetchResult Result;
     Result.Relayed = std::max(Seen, Skip);
+    if (StreamFailure) {
+      Result.Failure = StreamFailure;
+      Result.End = FetchEnd::Ended;
+      return Result;
+    }
     const bool Missing = Head.Status == Unauthorized ||
                          Head.Status == NotFound ||
                          Head.Status == AnswerGoneStatus;
-    if (!Complete)
+    if (!Complete || Events.insideEvent())
       return Result;
     if (IsProblem)
       Result.Failure = parseProblem(Whole);
@@ -60,9 +62,31 @@
   }
 
 private:
+  /// Passes complete events on, but not the last one of a stream that failed.
+  void passOn(std::string_view Complete) {
+    constexpr std::string_view ErrorEvent = "event: error\ndata: ";
+    const auto Found = Complete.find(ErrorEvent);
+    const bool Begins = Found == 0 || (Found != std::string_view::npos &&
+                                       Complete[Found - 1] == '\n');
+    if (Begins) {
+      std::string_view Data = Complete.substr(Found + ErrorEvent.size());
+      StreamFailure =
+          parseProblem(std::string(Data.substr(0, Data.find('\n'))));
+      if (StreamFailure)
+        Complete = Complete.substr(0, Found);
+    }
+    Seen += Complete.size();
+    if (Seen > Skip)
+      Target.append(Complete.substr(Complete.size() -
+                                    std::min(Complete.size(), Seen - Skip)));
+  }
+
   Answer &Target;
   std::size_t Skip;
   std::size_t Seen = 0;
+  EventStream Events;
+  /// Failure that the last event of a stream tells.
+  std::optional<Problem> StreamFailure;
   AnswerHead Head;
   bool IsProblem = false;
   bool Streaming = false;
--- a/src/router/front_end.cpp
+++ b/src/router/front_end.cpp
@@ -112,11 +112,16 @@
          nlohmann::json::accept(Request.body);
 }
 
-/// A stream that fails after its head ends with an event that says so.
+/// A stream that fails after its head ends with an event that says so, and
+/// without the end of its framing: not every caller knows the event.
 std::string errorEvent(const Problem &Failure) {
   return "event: error\ndata: " + toJson(Failure) + "\n\n";
 }
 
+bool acceptsChunks(const httplib::Request &Request) {
+  return Request.version != "HTTP/1.0";
+}
+
 bool writeAll(httplib::DataSink &Sink, const std::string &Bytes) {
   return Bytes.empty() || Sink.write(Bytes.data(), Bytes.size());
 }
@@ -128,15 +133,19 @@
         const std::string Bytes = Source->read(Offset);
         if (!Bytes.empty())
           return writeAll(Sink, Bytes);
-        const std::optional<Problem> Failure = Source->failure();
-        const bool Written = !Failure || writeAll(Sink, errorEvent(*Failure));
+        if (const std::optional<Problem> Failure = Source->failure()) {
+          writeAll(Sink, errorEvent(*Failure));
+          return false;
+        }
         Sink.done();
-        return Written;
+        return true;
       });
 }
 
+/// @param Chunks true if the caller understands a chunked body; otherwise the
+///   answer is sent when its length is known
 void replyWithAnswer(httplib::Response &Response, const RequestId &Id,
-                     const std::shared_ptr<Answer> &Source) {
+                     const std::shared_ptr<Answer> &Source, bool Chunks) {
   Response.set_header("X-Request-Id", Id.Value);
   const std::optional<AnswerHead> Head = Source->waitForHead();
   if (!Head) {
@@ -144,7 +153,7 @@
     return;
   }
   Response.status = Head->Status;
-  if (Head->ContentType.starts_with("text/event-stream")) {
+  if (Chunks && Head->ContentType.starts_with("text/event-stream")) {
     streamAnswer(Response, *Head, Source);
     return;
   }
@@ -329,7 +338,7 @@
   const RequestId Id(Request.matches[1].str());
   const std::shared_ptr<Answer> Found = Answers.find(Workspace->Id, Id);
   if (claimMatches(Request, Found.get())) {
-    replyWithAnswer(Response, Id, Found);
+    replyWithAnswer(Response, Id, Found, acceptsChunks(Request));
     return;
   }
   Problem Failure;
@@ -429,7 +438,7 @@
   const std::shared_ptr<Answer> Target = addAnswer(Workspace->Id, Accepted.Id);
   const RequestId Id = Accepted.Id;
   Runner->start(std::move(Accepted), Target);
-  replyWithAnswer(Response, Id, Target);
+  replyWithAnswer(Response, Id, Target, acceptsChunks(Request));
 }
 
 void FrontEnd::State::serveAdmin(const std::string &Method,
--- a/tests/integration/test-upstreams.cpp
+++ b/tests/integration/test-upstreams.cpp
@@ -35,6 +35,8 @@
   CPPUNIT_TEST(lostReplyIsUnknownAndRunsOnce);
   CPPUNIT_TEST(refusalIsNotRun);
   CPPUNIT_TEST(clientThatLeavesKeepsItsAnswer);
+  CPPUNIT_TEST(brokenStreamIsNotFramedAsComplete);
+  CPPUNIT_TEST(streamToAnOldCallerHasALength);
   CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -157,7 +159,45 @@
     assertComplete(send(Again));
   }
 
+  // Guards against a stream that broke off and whose framing says that it is
+  // complete.
+  void brokenStreamIsNotFramedAsComplete() {
+    std::string Raw;
+    {
+      const std::jthread Caller(
+          [this, &Raw] { Raw = exchangeRaw(Router->Address, rawStream(1)); });
+      CPPUNIT_ASSERT(waitUntil(
+          [this] { return running(*Engines[0]) + running(*Engines[1]) > 0; }));
+      std::this_thread::sleep_for(Milliseconds(200));
+      for (Node *Engine : Engines)
+        Engine->Runs->kill();
+    }
+    CPPUNIT_ASSERT(Raw.find("\r\nTransfer-Encoding: chunked\r\n") !=
+                   std::string::npos);
+    CPPUNIT_ASSERT(Raw.find("event: error") != std::string::npos);
+    CPPUNIT_ASSERT(!Raw.ends_with("0\r\n\r\n"));
+  }
+
+  // Guards against chunks for a caller that does not understand them, to whom
+  // the end of the connection would be the end of the stream.
+  void streamToAnOldCallerHasALength() {
+    const std::string Raw = exchangeRaw(Router->Address, rawStream(0));
+    CPPUNIT_ASSERT(Raw.find("Transfer-Encoding") == std::string::npos);
+    CPPUNIT_ASSERT(Raw.find("\r\nContent-Length: ") != std::string::npos);
+    CPPUNIT_ASSERT(Raw.ends_with("data: [DONE]\n\n"));
+  }
+
 private:
+  /// A request for a stream, as a caller of HTTP/1.`Minor` sends it.
+  static std::string rawStream(int Minor) {
+    const std::string Body =
+        chatBody("line plan review", StreamTokens, true).dump();
+    return "POST /v1/chat/completions HTTP/1." + std::to_string(Minor) +
+           "\r\nHost: a\r\nAuthorization: Bearer key-line-plan\r\n"
+           "Connection: close\r\nContent-Length: " +
+           std::to_string(Body.size()) + "\r\n\r\n" + Body;
+  }
+
   json entryOf(const Node &Engine, const std::string &State) const {
     return {{"name", Engine.Name},
             {"pool", "models"},
--- a/tests/unit-answer-fetch.cpp
+++ b/tests/unit-answer-fetch.cpp
@@ -52,6 +52,7 @@
   CPPUNIT_TEST(failureOfTheHolderIsPassedOn);
   CPPUNIT_TEST(missingAnswerIsGone);
   CPPUNIT_TEST(cutAnswerIsNotComplete);
+  CPPUNIT_TEST(failureAfterTheHeadOfAStreamIsPassedOn);
   CPPUNIT_TEST(stoppedHolderIsUnreachable);
   CPPUNIT_TEST(endedAnswerTakesNoMoreBytes);
   CPPUNIT_TEST_SUITE_END();
@@ -123,6 +124,31 @@
     CPPUNIT_ASSERT_EQUAL(std::size_t(0), Target.size());
   }
 
+  // Guards against a stream that broke off and that the caller of a second
+  // request with the same key gets as complete.
+  void failureAfterTheHeadOfAStreamIsPassedOn() {
+    Problem Original;
+    Original.Reason = {ErrorId::ConnectionLost, "the upstream is gone", ""};
+    HolderServer Holder([&](const httplib::Request &,
+                            httplib::Response &Response) {
+      Response.set_chunked_content_provider(
+          "text/event-stream", [&](std::size_t, httplib::DataSink &Sink) {
+            const std::string Text =
+                "data: 1\n\nevent: error\ndata: " + toJson(Original) + "\n\n";
+            Sink.write(Text.data(), Text.size());
+            return false;
+          });
+    });
+    Answer Target;
+    CallCancellation Cancellation;
+    const FetchResult Result =
+        fetchAnswer(Holder.wanted(), Target, Cancellation);
+    CPPUNIT_ASSERT(Result.End == FetchEnd::Ended);
+    CPPUNIT_ASSERT(Result.Failure.has_value());
+    CPPUNIT_ASSERT(Result.Failure->Reason.Id == ErrorId::ConnectionLost);
+    CPPUNIT_ASSERT_EQUAL(std::string("data: 1\n\n").size(), Target.size());
+  }
+
   // Guards against a caller that waits for a router that has ended.
   void stoppedHolderIsUnreachable() {
     HolderServer Holder([](const httplib::Request &, httplib::Response &) {});
