Follow what upstreams say of themselves: leaving, or asking for a pause

Cause: neither Server-Leaving nor the Retry-After of an upstream's 503 was read. An upstream that leaves without a word in the store, or before the store is read, got requests until its registration was gone, and one that asked for a pause got the next request at once.

The upstream gets nothing more, or nothing for the time asked for and a random part of it; then one request tries it first. Requests that no upstream can take before their queue deadline are refused at once with the time from which one can.

--- a/include/mallowglade/detail/dataplane/admission.hpp
+++ b/include/mallowglade/detail/dataplane/admission.hpp
@@ -18,6 +18,8 @@
   NoRoom,
   /// No upstream of the service is ready.
   NoUpstream,
+  /// All upstreams of the service have asked for a pause.
+  UpstreamsPaused,
   /// The queue is full.
   QueueFull,
   /// The metadata store was not read recently enough to rule out that the
@@ -83,6 +85,9 @@
 
 private:
   bool tryPlace(QueuedRequest &Request);
+  /// @brief Refuses a request that no upstream can take before its deadline.
+  /// @return false if one may take it
+  bool refuseUnservable(QueuedRequest &Request);
   /// @return fraction of its share that the request's workspace has used; 0 if
   ///   the request does not count against a share
   double shareFill(const QueuedRequest &Request);
--- a/include/mallowglade/detail/dataplane/placement.hpp
+++ b/include/mallowglade/detail/dataplane/placement.hpp
@@ -96,8 +96,9 @@
   WorkLimitController &workLimitController() { return WorkLimits; }
   /// @return limit for the `RecentWork` of one engine, in prompt tokens
   double workLimit() const { return BaseWorkLimit * WorkLimits.factor(); }
-  /// @return true if the service has a ready upstream
-  bool anyReady(const ServiceId &Name) const;
+  /// @return time from which a request may be sent to an upstream of the
+  ///   service, or nothing if it has no upstream that stays in use
+  std::optional<TimePoint> availableFrom(const ServiceId &Name) const;
 
 private:
   bool isEligible(const UpstreamState &Upstream, const PlacementQuery &Query,
--- a/include/mallowglade/detail/dataplane/traffic.hpp
+++ b/include/mallowglade/detail/dataplane/traffic.hpp
@@ -60,6 +60,10 @@
   std::uint64_t Retries = 0;
   std::uint64_t ResumedStreams = 0;
   std::uint64_t CallersGone = 0;
+  /// Upstreams in the list that have said that they are leaving, and that have
+  /// asked for a pause which has not ended.
+  std::uint64_t UpstreamsLeaving = 0;
+  std::uint64_t UpstreamsPaused = 0;
 };
 
 class RequestRun;
@@ -116,6 +120,9 @@
   /// @return true if no backlogged workspace is served clearly less than this
   ///   one; false if shares do not apply
   bool isLeastServed(const Route &MatchedRoute, const WorkspaceId &Workspace);
+  /// @brief Follows what an upstream says of itself in a response.
+  void observe(const UpstreamRecord &Upstream,
+               const ResponseMetadata &Response);
   const ServiceId &pickService(const Route &MatchedRoute);
   bool credentialsFresh() const;
   void scheduleDispatch();
--- a/include/mallowglade/detail/dataplane/upstream_table.hpp
+++ b/include/mallowglade/detail/dataplane/upstream_table.hpp
@@ -1,10 +1,12 @@
 #pragma once
 
 #include <mallowglade/detail/dataplane/fleet_state.hpp>
+#include <mallowglade/detail/dataplane/upstream_notices.hpp>
 
 #include <cstdint>
 #include <map>
 #include <unordered_map>
+#include <utility>
 #include <vector>
 
 namespace mallowglade::dataplane {
@@ -46,6 +48,16 @@
   TimePoint BackoffUntil{};
   /// Failures since the last answer.
   unsigned ConsecutiveFailures = 0;
+  /// The upstream has said that it is leaving.
+  bool Leaving = false;
+  /// End of the pause that the upstream asked for.
+  TimePoint PausedUntil{};
+  /// True from a pause until the upstream accepts a request: one request tries
+  /// it before others follow.
+  bool Recovering = false;
+
+  /// @return true if requests may ever be sent to the upstream again
+  bool staysInUse() const { return Record.Ready && !Leaving; }
 
   /// @return load from requests of all routers
   UpstreamLoad total() const;
@@ -54,7 +66,7 @@
 /// @brief The upstreams and their loads; used by the traffic thread only.
 class UpstreamTable {
 public:
-  explicit UpstreamTable(const Clock &Time) : Time(Time) {}
+  explicit UpstreamTable(const Clock &Time) : Time(Time), Notices(Time) {}
 
   /// @brief Replaces the list of upstreams; the load of those that stay at the
   ///   same address and have not restarted is kept.
@@ -76,13 +88,30 @@
   /// @brief Records a failure that the upstream may have caused; starts a
   ///   back-off.
   void failed(const UpstreamId &Id);
+  /// @brief Records that an upstream has begun to respond to a request that it
+  ///   executes.
+  void accepted(const UpstreamId &Id);
   /// @brief Records an answer; ends the back-off.
   void answered(const UpstreamId &Id);
+  /// @brief Records that an upstream has said that it is leaving.
+  /// @return true if that was not known
+  bool leaving(const UpstreamRecord &Upstream);
+  /// @brief Records that an upstream wants no requests before a time.
+  void paused(const UpstreamRecord &Upstream, TimePoint Until);
+  /// @return true if the upstream has said that it is leaving
+  bool isLeaving(const UpstreamRecord &Upstream) const {
+    return Notices.isLeaving(Upstream);
+  }
+  /// @return numbers of listed upstreams that are leaving and that are paused
+  std::pair<std::size_t, std::size_t> countNoticed() const;
   /// @return loads from requests of this router, to report to the others
   LoadTable ownLoads();
 
 private:
+  void applyNotices(UpstreamState &State) const;
+
   const Clock &Time;
+  UpstreamNotices Notices;
   std::map<UpstreamId, UpstreamState> Upstreams;
   std::unordered_map<ServiceId, std::vector<UpstreamState *>> ByService;
   LoadTable PeerLoads;
--- a/include/mallowglade/detail/dataplane/wire_protocol.hpp
+++ b/include/mallowglade/detail/dataplane/wire_protocol.hpp
@@ -43,6 +43,10 @@
   bool NotExecuted = false;
   /// The response carries the upstream's signature.
   bool Signed = false;
+  /// The upstream states that it is leaving and takes no new requests.
+  bool Leaving = false;
+  /// Time for which an upstream that refused the request wants no others.
+  std::optional<Milliseconds> Pause;
   /// Requests that the upstream is executing and has queued.
   std::optional<unsigned> Running;
   std::optional<unsigned> Waiting;
--- a/src/dataplane/admission.cpp
+++ b/src/dataplane/admission.cpp
@@ -29,6 +29,8 @@
     return "no_room";
   case Refusal::NoUpstream:
     return "no_upstream";
+  case Refusal::UpstreamsPaused:
+    return "upstreams_paused";
   case Refusal::QueueFull:
     return "queue_full";
   case Refusal::CredentialsNotFresh:
@@ -58,10 +60,8 @@
     Request->refuse(Refusal::Stopping, RetryAfterWhileStopping);
     return;
   }
-  if (!Placer.anyReady(Request->Query.Service)) {
-    Request->refuse(Refusal::NoUpstream, retryAfter(*Request));
+  if (refuseUnservable(*Request))
     return;
-  }
   const bool OverShare = Request->HasWorkspace && !Request->PreviouslySent &&
                          !Shares.withinShare(Request->ShareKey);
   if (OverShare) {
@@ -87,6 +87,19 @@
   dispatch();
 }
 
+bool Admission::refuseUnservable(QueuedRequest &Request) {
+  const auto From = Placer.availableFrom(Request.Query.Service);
+  if (!From) {
+    Request.refuse(Refusal::NoUpstream, retryAfter(Request));
+    return true;
+  }
+  if (*From <= Request.QueueDeadline)
+    return false;
+  const auto Pause = std::chrono::ceil<Milliseconds>(*From - Time.now());
+  Request.refuse(Refusal::UpstreamsPaused, Pause + retryAfter(Request));
+  return true;
+}
+
 double Admission::shareFill(const QueuedRequest &Request) {
   return Request.HasWorkspace && !Request.PreviouslySent
              ? Shares.shareFill(Request.ShareKey)
@@ -164,7 +177,7 @@
     if (It == Queue.end())
       continue;
     const auto Position = Queue.erase(It);
-    if (tryPlace(*Ranked.Request)) {
+    if (refuseUnservable(*Ranked.Request) || tryPlace(*Ranked.Request)) {
       Failures = 0;
       continue;
     }
--- a/src/dataplane/control.cpp
+++ b/src/dataplane/control.cpp
@@ -527,6 +527,10 @@
             static_cast<double>(OwnCounters.ResumedStreams));
   SetMetric("mallowglade_callers_gone",
             static_cast<double>(OwnCounters.CallersGone));
+  SetMetric("mallowglade_upstreams_leaving",
+            static_cast<double>(OwnCounters.UpstreamsLeaving));
+  SetMetric("mallowglade_upstreams_paused",
+            static_cast<double>(OwnCounters.UpstreamsPaused));
   SetMetric("mallowglade_live_routers",
             static_cast<double>(Peers.liveRouters()));
   SetMetric("mallowglade_configuration_version",
--- a/src/dataplane/placement.cpp
+++ b/src/dataplane/placement.cpp
@@ -64,15 +64,19 @@
 
 bool Placement::isEligible(const UpstreamState &Upstream,
                            const PlacementQuery &Query, TimePoint Now) const {
-  return Upstream.Record.Ready && Upstream.BackoffUntil <= Now &&
+  if (Upstream.Recovering && Upstream.Own.Running >= 1)
+    return false;
+  return Upstream.staysInUse() && Upstream.BackoffUntil <= Now &&
+         Upstream.PausedUntil <= Now &&
          !Query.Excluded.contains(Upstream.Record.Id);
 }
 
-bool Placement::anyReady(const ServiceId &Name) const {
-  const auto &Candidates = Table.upstreamsOf(Name);
-  return std::any_of(
-      Candidates.begin(), Candidates.end(),
-      [](const UpstreamState *State) { return State->Record.Ready; });
+std::optional<TimePoint> Placement::availableFrom(const ServiceId &Name) const {
+  std::optional<TimePoint> Earliest;
+  for (const UpstreamState *State : Table.upstreamsOf(Name))
+    if (State->staysInUse() && (!Earliest || State->PausedUntil < *Earliest))
+      Earliest = State->PausedUntil;
+  return Earliest;
 }
 
 bool Placement::hasCapacity(const UpstreamState &Upstream,
--- a/src/dataplane/request_run.cpp
+++ b/src/dataplane/request_run.cpp
@@ -173,8 +173,9 @@
 
 void RequestRun::onResponseHead(http1::ResponseHead &Received) {
   Head = std::move(Received);
-  const ResponseFault Fault =
-      Reader.begin(Head, Proxy.Wire.readResponse(Head), RelayStarted);
+  const ResponseMetadata Response = Proxy.Wire.readResponse(Head);
+  Proxy.observe(TargetUpstream, Response);
+  const ResponseFault Fault = Reader.begin(Head, Response, RelayStarted);
   if (Fault != ResponseFault::None)
     failResponse(Fault);
 }
@@ -319,7 +320,7 @@
   Connection = nullptr;
   if (!FinishedConnection)
     return;
-  if (KeepConnection)
+  if (KeepConnection && !Proxy.Upstreams.isLeaving(TargetUpstream))
     Proxy.Pool.release(TargetUpstream.Address, FinishedConnection);
   else
     FinishedConnection->cancel();
--- a/src/dataplane/traffic.cpp
+++ b/src/dataplane/traffic.cpp
@@ -6,6 +6,8 @@
 
 #include <asio/post.hpp>
 
+#include <tuple>
+
 namespace mallowglade::dataplane {
 
 namespace {
@@ -169,7 +171,27 @@
   Queue.dispatch();
 }
 
+void Traffic::observe(const UpstreamRecord &Upstream,
+                      const ResponseMetadata &Response) {
+  if (Response.Leaving && Upstreams.leaving(Upstream)) {
+    Pool.closeIdleConnections(Upstream.Address);
+    Log.write("upstream_leaving", {{"upstream", Upstream.Id.Value}});
+  }
+  if (!Response.NotExecuted)
+    Upstreams.accepted(Upstream.Id);
+  if (Response.Pause) {
+    const Milliseconds Pause = pauseFor(*Response.Pause, Random);
+    Upstreams.paused(Upstream, Time.now() + Pause);
+    Log.write("upstream_paused",
+              {{"upstream", Upstream.Id.Value},
+               {"asked_ms", std::int64_t(Response.Pause->count())},
+               {"pause_ms", std::int64_t(Pause.count())}});
+  }
+}
+
 TrafficReport Traffic::report() {
+  std::tie(Counters.UpstreamsLeaving, Counters.UpstreamsPaused) =
+      Upstreams.countNoticed();
   return {Upstreams.ownLoads(),
           Shares.ownUsage(),
           Crashes.own(),
--- a/src/dataplane/upstream_table.cpp
+++ b/src/dataplane/upstream_table.cpp
@@ -72,6 +72,7 @@
       State = Previous->second;
     State.Record = Record;
     State.Key = UpstreamKey(stableHash(Record.Id.Value));
+    applyNotices(State);
   }
   for (const auto &[Id, State] : Upstreams) {
     const auto Current = Next.find(Id);
@@ -136,6 +137,42 @@
   }
 }
 
+void UpstreamTable::accepted(const UpstreamId &Id) {
+  if (UpstreamState *State = find(Id))
+    State->Recovering = State->PausedUntil > Time.now();
+}
+
+void UpstreamTable::applyNotices(UpstreamState &State) const {
+  State.Leaving = Notices.isLeaving(State.Record);
+  const TimePoint Until = Notices.pausedUntil(State.Record);
+  if (Until > State.PausedUntil)
+    State.Recovering = true;
+  State.PausedUntil = Until;
+}
+
+bool UpstreamTable::leaving(const UpstreamRecord &Upstream) {
+  const bool IsNew = Notices.recordLeaving(Upstream);
+  if (UpstreamState *State = find(Upstream.Id))
+    applyNotices(*State);
+  return IsNew;
+}
+
+void UpstreamTable::paused(const UpstreamRecord &Upstream, TimePoint Until) {
+  Notices.recordPause(Upstream, Until);
+  if (UpstreamState *State = find(Upstream.Id))
+    applyNotices(*State);
+}
+
+std::pair<std::size_t, std::size_t> UpstreamTable::countNoticed() const {
+  const TimePoint Now = Time.now();
+  std::pair<std::size_t, std::size_t> Counts;
+  for (const auto &[Id, State] : Upstreams) {
+    Counts.first += State.Leaving ? 1 : 0;
+    Counts.second += !State.Leaving && State.PausedUntil > Now ? 1 : 0;
+  }
+  return Counts;
+}
+
 LoadTable UpstreamTable::ownLoads() {
   constexpr double MinReportedWork = 1;
   LoadTable Table;
