Play streams that break off or have no frame in the soak

Change: the stand-in ends streams with their connection and breaks them off inside an event; integration-node checks that callers get them whole or not at all; the soak plays both.

--- a/tests/integration/test-node.cpp
+++ b/tests/integration/test-node.cpp
@@ -155,6 +155,7 @@
 class NodeTest : public CppUnit::TestFixture {
   CPPUNIT_TEST_SUITE(NodeTest);
   CPPUNIT_TEST(requestsOfAllKindsAreServed);
+  CPPUNIT_TEST(streamsThatBreakOffAreResumed);
   CPPUNIT_TEST(shutdownInterruptsNoRequest);
   CPPUNIT_TEST(killedNodeIsNotResolved);
   CPPUNIT_TEST(revokedKeyIsRejected);
@@ -187,6 +188,31 @@
       CPPUNIT_ASSERT_EQUAL(1, Run.value().get<int>());
   }
 
+  // Guards against streams that break off, with or without a frame, and reach
+  // the caller as complete.
+  void streamsThatBreakOffAreResumed() {
+    Deployment Fleet;
+    Deployment::sendControl({{"unframed", 2}, {"break_off", 3}});
+    std::string Whole;
+    for (int Event = 1; Event <= 10; ++Event)
+      Whole += "id: " + std::to_string(Event) + "\ndata: e" +
+               std::to_string(Event) + "\n\n";
+    constexpr int Streams = 18;
+    int Served = 0;
+    for (int Number = 0; Number < Streams; ++Number) {
+      auto Caller = Deployment::clientOf(Number % 2);
+      const auto Stream = Caller.Post(
+          "/stream/x", Deployment::requestHeaders("s" + std::to_string(Number)),
+          "b", "text/plain");
+      if (!Stream)
+        continue;
+      ++Served;
+      CPPUNIT_ASSERT_EQUAL(Whole, Stream->body);
+    }
+    // Streams may break off twice, and a route has two attempts.
+    CPPUNIT_ASSERT(Served >= Streams / 2);
+  }
+
   // Guards against requests that SIGTERM interrupts: a stream that is running
   // has to complete while the node is no longer ready or resolved.
   void shutdownInterruptsNoRequest() {
--- a/tests/standins/fault-proxy.cpp
+++ b/tests/standins/fault-proxy.cpp
@@ -13,6 +13,8 @@
 //                 are not affected
 //   lose_replies  true: requests are passed on; the connection is closed at
 //                 the first byte of the reply
+//   reset         true: connections that are cut or lose replies end with a
+//                 reset instead of an orderly close
 //   cut_sources   list of client addresses; their connections, old and new,
 //                 pass nothing until the list is replaced
 // A route refuses connections while its target does, as a direct connection
@@ -44,6 +46,7 @@
   std::chrono::milliseconds Delay{0};
   bool DropNew = false;
   std::optional<long> CutAfter;
+  bool Reset = false;
   bool LoseReplies = false;
   std::set<std::string> CutSources;
 };
@@ -164,7 +167,14 @@
   void writeAndClose(tcp::socket &To, const BlockPointer &Next) {
     asio::async_write(To, asio::buffer(Next->Data.data(), Next->Size),
                       [Self = shared_from_this(),
-                       Next](asio::error_code, std::size_t) { Self->close(); });
+                       Next](asio::error_code, std::size_t) { Self->cut(); });
+  }
+
+  void cut() {
+    asio::error_code Ignored;
+    if (Through.Set.Reset)
+      Client.set_option(asio::socket_base::linger(true, 0), Ignored);
+    close();
   }
 
   void passOn(tcp::socket &From, tcp::socket &To, bool TowardsTarget,
@@ -224,6 +234,7 @@
     Set.Delay = std::chrono::milliseconds(
         Change.value("delay_ms", static_cast<int>(Set.Delay.count())));
     Set.DropNew = Change.value("drop_new", Set.DropNew);
+    Set.Reset = Change.value("reset", Set.Reset);
     Set.LoseReplies = Change.value("lose_replies", Set.LoseReplies);
     if (Change.contains("cut_after"))
       Set.CutAfter = Change["cut_after"].get<long>();
--- a/tests/standins/standin-model-fleet.cpp
+++ b/tests/standins/standin-model-fleet.cpp
@@ -9,6 +9,9 @@
 //   {"down": true}         the store answers 503
 //   {"leaving": N}         replica N reports that it leaves
 //   {"back": N}            replica N reports that it is ready
+//   {"unframed": N}        every Nth stream ends with its connection
+//   {"break_off": N}       every Nth stream ends inside an event, without a
+//                          reset
 //   {"copy": true}         keeps a copy of the store
 //   {"restore": MS}        the store goes back to the copy and a new era
 //   begins;
@@ -201,6 +204,10 @@
       report(Number, State);
   }
 
+  /// @param Every number of streams of which one is affected; 0 for none
+  void sendUnframed(unsigned Every) { UnframedEvery = Every; }
+  void breakOff(unsigned Every) { BreakOffEvery = Every; }
+
   json runs() {
     const std::lock_guard<std::mutex> Lock(Mutex);
     return Runs;
@@ -243,19 +250,40 @@
     }
     const std::string Last = Request.get_header_value("Last-Event-Id");
     const int First = Last.empty() ? 1 : std::stoi(Last) + 1;
-    Response.set_chunked_content_provider(
-        "text/event-stream", [First](std::size_t, httplib::DataSink &Sink) {
-          for (int Event = First; Event <= StreamEvents; ++Event) {
-            const std::string Text = "id: " + std::to_string(Event) +
-                                     "\ndata: e" + std::to_string(Event) +
-                                     "\n\n";
-            if (!Sink.write(Text.data(), Text.size()))
-              return false;
-            std::this_thread::sleep_for(EventPause);
-          }
-          Sink.done();
-          return true;
-        });
+    const unsigned Stream = ++Streams;
+    const auto IsNth = [Stream](unsigned Every) {
+      return Every != 0 && Stream % Every == 0;
+    };
+    const int BrokenEvent =
+        IsNth(BreakOffEvery)
+            ? First + static_cast<int>(Stream / BreakOffEvery) %
+                          (StreamEvents - First + 1)
+            : StreamEvents + 1;
+    const auto Send = [First, BrokenEvent](std::size_t,
+                                           httplib::DataSink &Sink) {
+      for (int Event = First; Event <= StreamEvents; ++Event) {
+        std::string Text = "id: " + std::to_string(Event) + "\ndata: e" +
+                           std::to_string(Event) + "\n\n";
+        if (Event == BrokenEvent)
+          Text.resize(Text.size() / 2);
+        if (!Sink.write(Text.data(), Text.size()) || Event == BrokenEvent)
+          return false;
+        std::this_thread::sleep_for(EventPause);
+      }
+      Sink.done();
+      return true;
+    };
+    if (IsNth(UnframedEvery))
+      Response.set_content_provider(
+          "text/event-stream",
+          httplib::ContentProviderWithoutLength(
+              [Send](std::size_t Offset, httplib::DataSink &Sink) {
+                Send(Offset, Sink);
+                // The library closes the connection of a failed response only.
+                return false;
+              }));
+    else
+      Response.set_chunked_content_provider("text/event-stream", Send);
   }
 
   Store &Registry;
@@ -264,6 +292,9 @@
   std::map<int, int> Ports;
   std::map<int, std::string> States;
   json Runs = json::object();
+  std::atomic<unsigned> Streams{0};
+  std::atomic<unsigned> UnframedEvery{0};
+  std::atomic<unsigned> BreakOffEvery{0};
 };
 
 void serveStore(httplib::Server &Server, Store &Registry) {
@@ -367,6 +398,10 @@
     Reply.set_content(json{{"version", Version}}.dump(), "application/json");
     if (Order.contains("down"))
       Registry.Down = Order["down"].get<bool>();
+    if (Order.contains("unframed"))
+      Pool.sendUnframed(Order["unframed"].get<unsigned>());
+    if (Order.contains("break_off"))
+      Pool.breakOff(Order["break_off"].get<unsigned>());
     if (Order.contains("leaving"))
       Pool.report(Order["leaving"].get<int>(), "draining");
     if (Order.contains("back"))
