--- a/tests/unit-dataplane-response-reader.cpp
+++ b/tests/unit-dataplane-response-reader.cpp
@@ -104,10 +104,15 @@
                      bool CarriageReturns) {
   const std::string LineEnd = CarriageReturns ? "\r\n" : "\n";
   std::string Body;
-  for (std::size_t Index = 0; Index < Parts.size(); ++Index)
-    Body += EventStream ? "id: " + std::to_string(Index + 1) + LineEnd +
-                              "data: " + Parts[Index] + LineEnd + LineEnd
-                        : Parts[Index];
+  for (std::size_t Index = 0; Index < Parts.size(); ++Index) {
+    if (!EventStream) {
+      Body += Parts[Index];
+      continue;
+    }
+    Body.append("id: ").append(std::to_string(Index + 1)).append(LineEnd);
+    Body.append("data: ").append(Parts[Index]).append(LineEnd);
+    Body += LineEnd;
+  }
   return Body;
 }
 
