Log the shared prompt parts of requests that broke off

Change: the field shared_parts of retry, and of request if an attempt failed. Conclusion: the cause of a series of crashes can be read from the logs of one router.

--- a/include/mallowglade/detail/dataplane/request_run.hpp
+++ b/include/mallowglade/detail/dataplane/request_run.hpp
@@ -58,6 +58,8 @@
   /// @brief Records the outcome; later calls have no effect.
   void complete(std::string_view Outcome, unsigned Status);
   http1::HeaderList responseFields(const http1::ResponseHead &Head) const;
+  /// @return hashes of the shared prompt parts, for the log
+  std::string sharedParts() const;
   void log(std::string_view Outcome, unsigned Status);
 
   Traffic &Proxy;
--- a/src/dataplane/request_run.cpp
+++ b/src/dataplane/request_run.cpp
@@ -349,7 +349,8 @@
     Proxy.Log.write("retry", {{"request", Metadata.Attempt.Value},
                               {"upstream", TargetUpstream.Id.Value},
                               {"cause", Cause},
-                              {"attempts", std::int64_t(History.Attempts)}});
+                              {"attempts", std::int64_t(History.Attempts)},
+                              {"shared_parts", sharedParts()}});
     Query.Excluded.insert(TargetUpstream.Id);
     QueueDeadline = Deadline;
     PreviouslySent = true;
@@ -433,7 +434,17 @@
     ++Proxy.Counters.Failed;
 }
 
+std::string RequestRun::sharedParts() const {
+  std::string Text;
+  for (std::size_t Index = 0; Index + 1 < Metadata.Parts.size(); ++Index)
+    fmt::format_to(std::back_inserter(Text), "{}{:x}", Index == 0 ? "" : ",",
+                   Metadata.Parts[Index].Hash);
+  return Text;
+}
+
 void RequestRun::log(std::string_view Outcome, unsigned Status) {
+  // Formatted only for requests whose cause of failure may be looked for.
+  const std::string Parts = History.Attempts > 0 ? sharedParts() : "";
   const auto TotalTime =
       std::chrono::duration_cast<Milliseconds>(Proxy.Time.now() - Arrived);
   const auto QueueTime =
@@ -456,6 +467,7 @@
        {"framing", http1::toString(Head.Framing)},
        {"body_bytes", std::int64_t(Reader.bodyBytes())},
        {"incomplete_event_bytes", std::int64_t(Reader.incompleteEventBytes())},
+       {"shared_parts", Parts},
        {"share_fill", HasWorkspace ? Proxy.Shares.shareFill(ShareKey) : 0.0},
        {"config", std::int64_t(Config->Version.Value)}});
 }
