--- a/tests/support/proxy_harness.cpp
+++ b/tests/support/proxy_harness.cpp
@@ -96,7 +96,7 @@
     Acceptors.push_back(std::make_unique<asio::ip::tcp::acceptor>(
         Context,
         asio::ip::tcp::endpoint(asio::ip::make_address("127.0.0.1"), 0)));
-    acceptFrom(*Acceptors.back());
+    acceptFrom(Acceptors.size() - 1);
     UpstreamRecord Record;
     Record.Id = UpstreamId("upstream-" + std::to_string(Index));
     Record.Service = Pool;
@@ -124,15 +124,24 @@
 
 void ProxyHarness::apply() { Router->apply(View); }
 
-void ProxyHarness::acceptFrom(asio::ip::tcp::acceptor &Acceptor) {
-  Acceptor.async_accept([this, &Acceptor](std::error_code Error,
-                                          asio::ip::tcp::socket Socket) {
-    if (Error)
-      return;
-    Sessions.push_back(std::make_shared<UpstreamSession>(std::move(Socket)));
-    readSession(Sessions.back());
-    acceptFrom(Acceptor);
-  });
+void ProxyHarness::acceptFrom(std::size_t Upstream) {
+  Acceptors[Upstream]->async_accept(
+      [this, Upstream](std::error_code Error, asio::ip::tcp::socket Socket) {
+        if (Error)
+          return;
+        Sessions.push_back(
+            std::make_shared<UpstreamSession>(std::move(Socket)));
+        Sessions.back()->Upstream = Upstream;
+        readSession(Sessions.back());
+        acceptFrom(Upstream);
+      });
+}
+
+void ProxyHarness::crash(std::size_t Upstream) {
+  Acceptors[Upstream]->close();
+  for (const auto &Each : Sessions)
+    if (Each->Upstream == Upstream)
+      Each->reset();
 }
 
 void ProxyHarness::readSession(
--- a/tests/support/proxy_harness.hpp
+++ b/tests/support/proxy_harness.hpp
@@ -28,6 +28,8 @@
   bool ClosedByRouter = false;
   /// Complete requests received on this connection, head and body.
   std::vector<std::string> Requests;
+  /// Index of the upstream.
+  std::size_t Upstream = 0;
 
 private:
   friend class ProxyHarness;
@@ -66,6 +68,8 @@
   bool closedByRouter(std::size_t Caller) const;
   /// Number of requests that upstreams have received.
   std::size_t requestCount() const;
+  /// Ends an upstream: its connections are reset, new ones are refused.
+  void crash(std::size_t Upstream);
 
   /// A request as a caller sends it, with the key "key" of the workspace
   /// "desk". The workspace "shop" has the key "shop-key".
@@ -95,7 +99,7 @@
     bool Closed = false;
     std::array<char, 16'384> Bytes{};
   };
-  void acceptFrom(asio::ip::tcp::acceptor &Acceptor);
+  void acceptFrom(std::size_t Upstream);
   void readSession(const std::shared_ptr<UpstreamSession> &Session);
   void readCaller(const std::shared_ptr<Caller> &Source);
 
