Put prompt parts that crash upstreams into quarantine

Callers saw streams broken off on one upstream after the other, for as long as requests with one prompt part came. Cause: CrashHistory counted lost connections by a hash over the whole request, in the routers' memory, for 30 s. Requests that share only a prompt part never had a count above one. Change: CrashAttribution (library outcomes, no network) decides by evidence which feature of requests causes crashes: the exact request or a prompt part but the last. Processes that crashed are united over all routers, a full answer voids the evidence, a response after the supposed crash refutes it, and the number of crashes needed follows from the fraction of runs that break off anyway. Quarantines are kept by all routers as long as requests come, with two probes at most. A connection that went silent is no crash any more. The two tests of CrashHistory move to unit-crash-attribution and check the same; the one that counted on forgetting after 30 s is replaced by one that a quarantine lasts. Ruled out as sole causes: lost evidence (the rule was broken before any router had restarted) and clearing by answers (no answered request had the fingerprint of an interrupted one).

--- a/include/mallowglade/dataplane.hpp
+++ b/include/mallowglade/dataplane.hpp
@@ -7,7 +7,6 @@
 #include <mallowglade/detail/dataplane/admission.hpp>
 #include <mallowglade/detail/dataplane/configuration.hpp>
 #include <mallowglade/detail/dataplane/control.hpp>
-#include <mallowglade/detail/dataplane/crash_history.hpp>
 #include <mallowglade/detail/dataplane/event_log.hpp>
 #include <mallowglade/detail/dataplane/fair_share.hpp>
 #include <mallowglade/detail/dataplane/fleet_state.hpp>
@@ -17,6 +16,7 @@
 #include <mallowglade/detail/dataplane/peer_directory.hpp>
 #include <mallowglade/detail/dataplane/peer_message.hpp>
 #include <mallowglade/detail/dataplane/placement.hpp>
+#include <mallowglade/detail/dataplane/request_features.hpp>
 #include <mallowglade/detail/dataplane/request_run.hpp>
 #include <mallowglade/detail/dataplane/response_reader.hpp>
 #include <mallowglade/detail/dataplane/restoration_proof.hpp>
--- a/include/mallowglade/detail/dataplane/admission.hpp
+++ b/include/mallowglade/detail/dataplane/admission.hpp
@@ -25,6 +25,8 @@
   /// The metadata store was not read recently enough to rule out that the
   /// credential was revoked.
   CredentialsNotFresh,
+  CrashesUpstreams,
+  CrashesSuspected,
   /// The router is shutting down.
   Stopping,
 };
--- a/include/mallowglade/detail/dataplane/peer_directory.hpp
+++ b/include/mallowglade/detail/dataplane/peer_directory.hpp
@@ -103,6 +103,9 @@
     PeerReport LastReport;
     TimePoint ReceivedAt{};
   };
+  Milliseconds sinceReceived(TimePoint ReceivedAt) const;
+  /// @return true if no live router of the fleet has a lower id
+  bool isFirstOfFleet() const;
   bool inSameZone(const Peer &Router) const {
     return Router.Record.Zone == Self.Zone;
   }
--- a/include/mallowglade/detail/dataplane/peer_message.hpp
+++ b/include/mallowglade/detail/dataplane/peer_message.hpp
@@ -1,8 +1,8 @@
 #pragma once
 
-#include <mallowglade/detail/dataplane/crash_history.hpp>
 #include <mallowglade/detail/dataplane/fair_share.hpp>
 #include <mallowglade/detail/dataplane/upstream_table.hpp>
+#include <mallowglade/outcomes.hpp>
 
 #include <map>
 #include <optional>
@@ -64,7 +64,7 @@
   std::optional<StateProof> Proof;
   LoadTable Loads;
   UsageTable Usage;
-  CrashTable Crashes;
+  CrashReport Crashes;
 };
 
 /// @brief Encodes a report as MessagePack.
--- a/include/mallowglade/detail/dataplane/request_run.hpp
+++ b/include/mallowglade/detail/dataplane/request_run.hpp
@@ -23,7 +23,7 @@
              RequestMetadata Metadata,
              std::shared_ptr<const Configuration> Config,
              const Route &MatchedRoute, WorkspaceId Workspace,
-             RequestFingerprint Fingerprint);
+             RequestFeatures Features, bool IsProbe);
 
   /// @brief Submits the request to the admission queue.
   void start();
@@ -44,6 +44,8 @@
   void onCallerDisconnected();
   void recordFirstEvent();
   void releaseLoad();
+  /// @brief Records that the upstream broke off the run, unless it is leaving.
+  void recordBrokenOff();
   void endAttempt(bool KeepConnection);
   void retryOrFail(AttemptFailure Failure, std::string_view Cause);
   void respondWithError(unsigned Status, std::string_view Cause,
@@ -68,12 +70,16 @@
   std::shared_ptr<const Configuration> Config;
   const Route &MatchedRoute;
   WorkspaceId Workspace;
-  RequestFingerprint Fingerprint;
+  RequestFeatures Features;
+  /// True if the request is let through although it has a feature in
+  /// quarantine.
+  bool IsProbe = false;
   TimePoint Deadline;
   asio::steady_timer DeadlineTimer;
   AttemptHistory History;
   std::shared_ptr<http1::UpstreamConnection> Connection;
   UpstreamRecord TargetUpstream;
+  UpstreamProcess TargetProcess;
   /// Address, `ip:port`, of the upstream whose KV cache the chosen one fetches
   /// the shared prompt parts from; empty for none.
   std::string KvCacheSource;
--- a/include/mallowglade/detail/dataplane/traffic.hpp
+++ b/include/mallowglade/detail/dataplane/traffic.hpp
@@ -1,10 +1,10 @@
 #pragma once
 
 #include <mallowglade/detail/dataplane/admission.hpp>
-#include <mallowglade/detail/dataplane/crash_history.hpp>
 #include <mallowglade/detail/dataplane/event_log.hpp>
 #include <mallowglade/detail/dataplane/node_settings.hpp>
 #include <mallowglade/detail/dataplane/overload.hpp>
+#include <mallowglade/detail/dataplane/request_features.hpp>
 #include <mallowglade/detail/dataplane/wire_protocol.hpp>
 #include <mallowglade/detail/http1/server.hpp>
 #include <mallowglade/detail/http1/upstream_pool.hpp>
@@ -31,7 +31,9 @@
 struct PeerSums {
   LoadTable Loads;
   UsageTable Usage;
-  CrashTable Crashes;
+  CrashReport Crashes;
+  /// True if this router is the first one of those that are live.
+  bool FirstOfFleet = false;
   /// Sum of the other routers' work limit factors, and number of these routers.
   double WorkLimitFactorSum = 0;
   double Routers = 0;
@@ -41,7 +43,7 @@
 struct TrafficReport {
   LoadTable Loads;
   UsageTable Usage;
-  CrashTable Crashes;
+  CrashReport Crashes;
   std::size_t BusyConnections = 0;
   /// True while callers should be sent to other routers.
   bool Overloaded = false;
@@ -64,6 +66,10 @@
   /// asked for a pause which has not ended.
   std::uint64_t UpstreamsLeaving = 0;
   std::uint64_t UpstreamsPaused = 0;
+  /// Features of requests that are in quarantine, and requests refused for
+  /// them; the latter are part of `Refused`.
+  std::uint64_t QuarantinedFeatures = 0;
+  std::uint64_t RefusedForQuarantine = 0;
 };
 
 class RequestRun;
@@ -113,6 +119,13 @@
   void refuseRequest(http1::ServerExchange &Exchange, unsigned Status,
                      std::string_view Reason, const AttemptId &Attempt,
                      const WorkspaceId &Workspace = WorkspaceId());
+  /// @brief Refuses a request with a feature that crashes upstreams.
+  void refuseQuarantined(http1::ServerExchange &Exchange,
+                         const RequestFeature &Feature,
+                         const RequestMetadata &Metadata,
+                         const WorkspaceId &Workspace);
+  /// @brief Brings the quarantines up to date and logs what has changed.
+  void updateQuarantines();
   /// @brief Processes a measurement of the event loop's delay.
   void sampleDelay(Milliseconds Delay);
   /// @brief Opens or closes the listening socket for callers.
@@ -141,7 +154,7 @@
   FairShare Shares;
   Admission Queue;
   RouterRetryBudget Retries;
-  CrashHistory Crashes;
+  CrashAttribution Crashes;
   ControlView View;
   TrafficCounters Counters;
   asio::steady_timer Ticker;
--- a/include/mallowglade/detail/http1/upstream_connection.hpp
+++ b/include/mallowglade/detail/http1/upstream_connection.hpp
@@ -20,8 +20,10 @@
   NotConnected,
   /// A reused connection was closed before the first byte was sent.
   ClosedBeforeUse,
-  /// The connection failed after the request may have been sent.
+  /// The connection was closed after the request may have been sent.
   Interrupted,
+  /// The same, but because the peer or the network did not respond.
+  Unresponsive,
   /// The bytes received are not a valid response, or too few of them belong to
   /// its body.
   Malformed,
--- a/include/mallowglade/outcomes.hpp
+++ b/include/mallowglade/outcomes.hpp
@@ -9,6 +9,8 @@
 #include <mallowglade/detail/outcomes/claim_partition.hpp>
 #include <mallowglade/detail/outcomes/claim_record.hpp>
 #include <mallowglade/detail/outcomes/claim_requester.hpp>
+#include <mallowglade/detail/outcomes/crash_attribution.hpp>
 #include <mallowglade/detail/outcomes/crash_quarantine.hpp>
+#include <mallowglade/detail/outcomes/crash_report.hpp>
 #include <mallowglade/detail/outcomes/quarantine_codec.hpp>
 #include <mallowglade/detail/outcomes/verdict.hpp>
--- a/src/dataplane/admission.cpp
+++ b/src/dataplane/admission.cpp
@@ -35,6 +35,10 @@
     return "queue_full";
   case Refusal::CredentialsNotFresh:
     return "credentials_not_fresh";
+  case Refusal::CrashesUpstreams:
+    return "crashes_upstreams";
+  case Refusal::CrashesSuspected:
+    return "crashes_suspected";
   case Refusal::Stopping:
     return "stopping";
   }
--- a/src/dataplane/control.cpp
+++ b/src/dataplane/control.cpp
@@ -531,6 +531,10 @@
             static_cast<double>(OwnCounters.UpstreamsLeaving));
   SetMetric("mallowglade_upstreams_paused",
             static_cast<double>(OwnCounters.UpstreamsPaused));
+  SetMetric("mallowglade_quarantined_features",
+            static_cast<double>(OwnCounters.QuarantinedFeatures));
+  SetMetric("mallowglade_refused_for_quarantine",
+            static_cast<double>(OwnCounters.RefusedForQuarantine));
   SetMetric("mallowglade_live_routers",
             static_cast<double>(Peers.liveRouters()));
   SetMetric("mallowglade_configuration_version",
--- a/src/dataplane/peer_directory.cpp
+++ b/src/dataplane/peer_directory.cpp
@@ -33,6 +33,8 @@
 /// This router counts as slow or isolated if fewer than one in this many
 /// registered routers is live.
 constexpr std::size_t IsolationFactor = 4;
+/// Bound on the features with crashes in a digest.
+constexpr std::size_t MaxDigestFeatures = 512;
 /// Time since the last report after which an unregistered router is removed.
 constexpr Milliseconds UnregisteredRetention{10'000};
 
@@ -46,11 +48,6 @@
   }
 }
 
-void addCrashes(CrashTable &Total, const CrashTable &Added) {
-  for (const auto &[Request, Runs] : Added)
-    Total[Request] += Runs;
-}
-
 void addLoads(LoadTable &Total, const LoadTable &Added) {
   for (const auto &[Key, Load] : Added)
     Total[Key] += Load;
@@ -193,8 +190,10 @@
     Own.WorkLimitFactorSum += Router.LastReport.WorkLimitFactorSum;
     addLoads(Own.Loads, Router.LastReport.Loads);
     addUsage(Own.Usage, Router.LastReport.Usage);
-    addCrashes(Own.Crashes, Router.LastReport.Crashes);
+    Own.Crashes.add(Router.LastReport.Crashes,
+                    sinceReceived(Router.ReceivedAt));
   }
+  Own.Crashes.limit(MaxDigestFeatures);
   // The sequence numbers date a proof only for routers of this zone, whose
   // reports are received here.
   if (Own.Proof)
@@ -262,8 +261,19 @@
   return std::max(MinReportPeriod, RatePeriod);
 }
 
+Milliseconds PeerDirectory::sinceReceived(TimePoint ReceivedAt) const {
+  return std::chrono::duration_cast<Milliseconds>(Time.now() - ReceivedAt);
+}
+
+bool PeerDirectory::isFirstOfFleet() const {
+  return std::none_of(Peers.begin(), Peers.end(), [this](const auto &Entry) {
+    return isLive(Entry.second) && Entry.first < Self.Id;
+  });
+}
+
 PeerSums PeerDirectory::sums() const {
   PeerSums Sum;
+  Sum.FirstOfFleet = isFirstOfFleet();
   for (const auto &[Id, Router] : Peers) {
     if (!inSameZone(Router) || !isLive(Router))
       continue;
@@ -271,7 +281,8 @@
     Sum.Routers += 1;
     addLoads(Sum.Loads, Router.LastReport.Loads);
     addUsage(Sum.Usage, Router.LastReport.Usage);
-    addCrashes(Sum.Crashes, Router.LastReport.Crashes);
+    Sum.Crashes.add(Router.LastReport.Crashes,
+                    sinceReceived(Router.ReceivedAt));
   }
   for (const auto &[Zone, ZoneDigest] : Digests) {
     if (Time.now() - ZoneDigest.ReceivedAt >= DigestLifetime)
@@ -280,7 +291,8 @@
     Sum.Routers += static_cast<double>(ZoneDigest.LastReport.Members.size());
     addLoads(Sum.Loads, ZoneDigest.LastReport.Loads);
     addUsage(Sum.Usage, ZoneDigest.LastReport.Usage);
-    addCrashes(Sum.Crashes, ZoneDigest.LastReport.Crashes);
+    Sum.Crashes.add(ZoneDigest.LastReport.Crashes,
+                    sinceReceived(ZoneDigest.ReceivedAt));
   }
   return Sum;
 }
--- /dev/null
+++ b/src/outcomes/crash_attribution.cpp
@@ -0,0 +1,599 @@
+#include <mallowglade/outcomes.hpp>
+
+#include <algorithm>
+#include <cmath>
+#include <tuple>
+#include <utility>
+
+namespace mallowglade {
+
+namespace {
+
+/// Probability with which a harmful feature breaks off a run.
+constexpr double HarmfulCrashRate = 0.95;
+/// Bound on the probability that the crashes of a harmless feature put it into
+/// quarantine.
+constexpr double FalseQuarantineRate = 1e-3;
+/// Fraction of runs broken off above which it does not tell features apart.
+constexpr double MaxBackgroundRate = 0.5;
+/// If more is broken off, a feature is blamed that most crashes have in common.
+constexpr std::size_t MinCommonCrashes = 5;
+constexpr double MinCommonFraction = 0.75;
+/// Runs of this router from which the background rate is estimated, and the
+/// estimate before there are any, as a number of runs.
+constexpr std::chrono::seconds BackgroundWindow{10};
+constexpr double PriorRuns = 20;
+constexpr double PriorBrokenOff = 0.5;
+/// Responses that arrive this long after a run broke off were not sent before.
+constexpr Milliseconds LifeMargin{250};
+/// Time for which observations are reported, so that lost reports do not
+/// matter.
+constexpr Milliseconds ReportTime{2'000};
+/// Time for which late reports of crashes before an answer are told from
+/// crashes after it.
+constexpr Milliseconds AnsweredRetention{10'000};
+constexpr std::size_t MaxReportedFeatures = 96;
+constexpr std::size_t MaxAnsweredFeatures = 4'096;
+constexpr std::size_t MaxProcesses = 1'024;
+constexpr std::size_t MaxOwnCrashes = 512;
+
+bool contains(const RequestFeatures &Features, const RequestFeature &Feature) {
+  return std::find(Features.begin(), Features.end(), Feature) != Features.end();
+}
+
+Milliseconds ageAt(TimePoint Now, TimePoint At) {
+  return std::max(Milliseconds(0),
+                  std::chrono::duration_cast<Milliseconds>(Now - At));
+}
+
+/// Number of crashes that are apart in time; crashes by a request that is
+/// repeated have no other common cause.
+std::size_t countEpisodes(FeatureKind Kind,
+                          const std::vector<TimePoint> &Crashes) {
+  if (Kind == FeatureKind::ExactRequest)
+    return Crashes.size();
+  std::size_t Count = 0;
+  TimePoint Last{};
+  for (const TimePoint At : Crashes) {
+    if (Count > 0 && At - Last < CrashAttribution::EpisodeGap)
+      continue;
+    ++Count;
+    Last = At;
+  }
+  return Count;
+}
+
+/// Number of crashes after which a feature is blamed.
+std::size_t crashesNeeded(FeatureKind Kind, double Background) {
+  // Harmless requests are not repeated so often.
+  if (Kind == FeatureKind::ExactRequest)
+    return CrashAttribution::MinCrashes;
+  const double PerCrash = std::log(HarmfulCrashRate / Background);
+  const double Needed = std::ceil(-std::log(FalseQuarantineRate) / PerCrash);
+  return std::max(CrashAttribution::MinCrashes,
+                  static_cast<std::size_t>(Needed));
+}
+
+} // namespace
+
+std::string_view toString(QuarantineChange::Cause Cause) {
+  switch (Cause) {
+  case QuarantineChange::Cause::Crashes:
+    return "crashes";
+  case QuarantineChange::Cause::Reported:
+    return "reported";
+  case QuarantineChange::Cause::Answered:
+    return "answered";
+  case QuarantineChange::Cause::Refuted:
+    return "refuted";
+  case QuarantineChange::Cause::Quiet:
+    return "quiet";
+  case QuarantineChange::Cause::Operator:
+    return "operator";
+  }
+  return "crashes";
+}
+
+bool CrashAttribution::isQuarantined(const RequestFeature &Feature) const {
+  const auto Found = Quarantines.find(Feature);
+  return Found != Quarantines.end() && Found->second.Status.quarantined();
+}
+
+void CrashAttribution::addRunEnd(const RequestFeatures &Features,
+                                 bool BrokenOff) {
+  const TimePoint Now = Time.now();
+  RunEnds.push_back({Features, Now, BrokenOff});
+  while (Now - RunEnds.front().At > BackgroundWindow)
+    RunEnds.pop_front();
+}
+
+void CrashAttribution::recordAnswered(const RequestFeatures &Features) {
+  const TimePoint Now = Time.now();
+  addRunEnd(Features, false);
+  for (const RequestFeature &Feature : Features) {
+    // An exact request is asked for again only if it was not answered.
+    if (Feature.Kind == FeatureKind::PromptPart) {
+      const auto [It, New] = OwnAnswered.insert_or_assign(Feature, Now);
+      if (New)
+        OwnAnsweredOrder.push_back(Feature);
+    }
+    addAnswered(Feature, Now);
+  }
+  while (OwnAnsweredOrder.size() > MaxAnsweredFeatures) {
+    OwnAnswered.erase(OwnAnsweredOrder.front());
+    OwnAnsweredOrder.pop_front();
+  }
+}
+
+void CrashAttribution::recordBrokenOff(const RequestFeatures &Features,
+                                       UpstreamProcess Process) {
+  const TimePoint Now = Time.now();
+  addRunEnd(Features, true);
+  for (const RequestFeature &Feature : Features) {
+    addCrash(Feature, Process, Now);
+    OwnCrashes.push_back({Feature, Process, Now});
+  }
+  while (OwnCrashes.size() > MaxOwnCrashes)
+    OwnCrashes.pop_front();
+  // The caller may repeat the request before the next update.
+  const auto Repeated = [this](const RequestFeature &Feature) {
+    return Feature.Kind == FeatureKind::ExactRequest &&
+           EvidenceByFeature.at(Feature).Crashes.size() >= MinCrashes;
+  };
+  if (std::any_of(Features.begin(), Features.end(), Repeated))
+    blame();
+}
+
+void CrashAttribution::recordAlive(UpstreamProcess Process) {
+  const auto Found = Processes.find(Process);
+  if (Found == Processes.end())
+    return;
+  const TimePoint Now = Time.now();
+  if (Now - Found->second.BrokenOffAt < LifeMargin)
+    return;
+  Found->second.AliveAt = Found->second.AliveHereAt = Now;
+  Found->second.Gone = false;
+}
+
+void CrashAttribution::recordGone(UpstreamProcess Process) {
+  const auto Found = Processes.find(Process);
+  if (Found != Processes.end())
+    Found->second.Gone = true;
+}
+
+void CrashAttribution::addCrash(const RequestFeature &Feature,
+                                UpstreamProcess Process, TimePoint At) {
+  ProcessState &State = Processes[Process];
+  State.BrokenOffAt = std::max(State.BrokenOffAt, At);
+  Evidence &Known = EvidenceByFeature[Feature];
+  const auto Answered = OwnAnswered.find(Feature);
+  if (Answered != OwnAnswered.end())
+    Known.AnsweredAt = std::max(Known.AnsweredAt, Answered->second);
+  if (At <= Known.AnsweredAt)
+    return;
+  TimePoint &CrashedAt = Known.Crashes[Process];
+  CrashedAt = std::max(CrashedAt, At);
+  const auto Current = Quarantines.find(Feature);
+  if (Current != Quarantines.end())
+    Current->second.LastCrashAt = std::max(Current->second.LastCrashAt, At);
+}
+
+void CrashAttribution::addAnswered(const RequestFeature &Feature,
+                                   TimePoint At) {
+  const auto Found = EvidenceByFeature.find(Feature);
+  if (Found != EvidenceByFeature.end() && !Found->second.Crashes.empty()) {
+    Found->second.AnsweredAt = std::max(Found->second.AnsweredAt, At);
+    std::erase_if(Found->second.Crashes,
+                  [At](const auto &Crash) { return Crash.second <= At; });
+  }
+  const auto Current = Quarantines.find(Feature);
+  if (Current == Quarantines.end() || At <= Current->second.LastCrashAt ||
+      !(Current->second.Status.quarantined() ||
+        Current->second.Status.lapsed()))
+    return;
+  if (Current->second.Status.quarantined())
+    Changes.push_back({Feature, QuarantineChange::Cause::Answered});
+  Current->second.Status.clear();
+}
+
+std::optional<RequestFeature>
+CrashAttribution::refusedFor(const RequestFeatures &Features) {
+  if (Quarantines.empty())
+    return std::nullopt;
+  std::optional<RequestFeature> Blamed;
+  for (const RequestFeature &Feature : Features) {
+    const auto Found = Quarantines.find(Feature);
+    if (Found == Quarantines.end() || !Found->second.Status.quarantined())
+      continue;
+    Found->second.RefusedAt = Found->second.RefusedHereAt = Time.now();
+    Blamed = Feature;
+  }
+  return Blamed;
+}
+
+bool CrashAttribution::takeProbe(const RequestFeatures &Features) {
+  Quarantine *Only = nullptr;
+  for (const RequestFeature &Feature : Features) {
+    if (!isQuarantined(Feature))
+      continue;
+    if (Only != nullptr)
+      return false;
+    Only = &Quarantines.at(Feature);
+  }
+  const bool Due = Only != nullptr && Prober &&
+                   Only->Probes < ProbeTimes.size() &&
+                   Time.now() - Only->Since >= ProbeTimes[Only->Probes];
+  if (Due)
+    ++Only->Probes;
+  return Due;
+}
+
+bool CrashAttribution::isSuspect(const RequestFeature &Feature,
+                                 const Evidence &Known) const {
+  return Known.Crashes.size() >= MinCrashes && !isQuarantined(Feature) &&
+         unexplainedCrashes(Feature, Known).size() >= MinCrashes;
+}
+
+bool CrashAttribution::mustWait(const RequestFeatures &Features) {
+  const TimePoint Now = Time.now();
+  const Milliseconds Interval = TrialInterval * Routers;
+  std::vector<Evidence *> Suspected;
+  for (const RequestFeature &Feature : Features) {
+    const auto Found = EvidenceByFeature.find(Feature);
+    if (Found == EvidenceByFeature.end() || !isSuspect(Feature, Found->second))
+      continue;
+    Evidence &Known = Found->second;
+    // The routers' first trials are spread over the interval.
+    if (Known.TriedAt == TimePoint{})
+      Known.TriedAt =
+          Now - Milliseconds(static_cast<std::int64_t>(
+                    stableHash({reinterpret_cast<const char *>(&Feature.Hash),
+                                sizeof(Feature.Hash)},
+                               Salt) %
+                    static_cast<std::uint64_t>(Interval.count() + 1)));
+    if (Now - Known.TriedAt < Interval)
+      return true;
+    Suspected.push_back(&Known);
+  }
+  for (Evidence *Known : Suspected)
+    Known->TriedAt = Now;
+  return false;
+}
+
+bool CrashAttribution::release(const RequestFeature &Feature) {
+  const auto Found = Quarantines.find(Feature);
+  if (Found == Quarantines.end() || !Found->second.Status.quarantined())
+    return false;
+  Found->second.Status.clear();
+  EvidenceByFeature.erase(Feature);
+  Changes.push_back({Feature, QuarantineChange::Cause::Operator});
+  return true;
+}
+
+void CrashAttribution::addQuarantine(const RequestFeature &Feature,
+                                     const QuarantineEntry &Entry) {
+  if (Entry.Status == QuarantineStatus())
+    return;
+  const TimePoint Now = Time.now();
+  const auto [It, New] = Quarantines.try_emplace(Feature);
+  Quarantine &Current = It->second;
+  if (New)
+    Current.RefusedAt = Now;
+  if (Entry.RefusedAge)
+    Current.RefusedAt = std::max(Current.RefusedAt, Now - *Entry.RefusedAge);
+  if (Entry.Status == Current.Status)
+    Current.Probes = std::max(Current.Probes, Entry.Probes);
+  if (Entry.Status <= Current.Status)
+    return;
+  const bool Was = Current.Status.quarantined();
+  Current.Status = Entry.Status;
+  Current.Probes = Entry.Probes;
+  if (Current.Status.quarantined()) {
+    // Earlier answers do not refute crashes that only other routers know.
+    Current.Since = Current.LastCrashAt = Now;
+  } else {
+    EvidenceByFeature.erase(Feature);
+  }
+  if (Was != Current.Status.quarantined())
+    Changes.push_back({Feature, QuarantineChange::Cause::Reported});
+}
+
+void CrashAttribution::merge(const CrashReport &Report) {
+  const TimePoint Now = Time.now();
+  for (const auto &[Feature, Observed] : Report.Features) {
+    for (const auto &[Process, Age] : Observed.BrokenOff)
+      addCrash(Feature, Process, Now - Age);
+    if (Observed.AnsweredAge)
+      addAnswered(Feature, Now - *Observed.AnsweredAge);
+  }
+  for (const auto &[Process, Age] : Report.Alive) {
+    const auto Found = Processes.find(Process);
+    if (Found != Processes.end())
+      Found->second.AliveAt = std::max(Found->second.AliveAt, Now - Age);
+  }
+  for (const auto &[Feature, Entry] : Report.Quarantines)
+    addQuarantine(Feature, Entry);
+}
+
+bool CrashAttribution::hasResponded(UpstreamProcess Process,
+                                    TimePoint BrokenOffAt) const {
+  const auto Found = Processes.find(Process);
+  return Found != Processes.end() &&
+         Found->second.AliveAt >= BrokenOffAt + LifeMargin;
+}
+
+bool CrashAttribution::isCrash(UpstreamProcess Process, TimePoint At,
+                               FeatureKind Kind) const {
+  const auto Found = Processes.find(Process);
+  if (Found == Processes.end() || hasResponded(Process, At))
+    return false;
+  return Kind == FeatureKind::ExactRequest || Found->second.Gone ||
+         Time.now() - At >= SettleTime;
+}
+
+std::vector<TimePoint>
+CrashAttribution::unexplainedCrashes(const RequestFeature &Feature,
+                                     const Evidence &Known) const {
+  std::vector<TimePoint> Times;
+  for (const auto &[Process, At] : Known.Crashes)
+    if (!Explained.contains(Process) && isCrash(Process, At, Feature.Kind))
+      Times.push_back(At);
+  std::sort(Times.begin(), Times.end());
+  return Times;
+}
+
+std::vector<TimePoint>
+CrashAttribution::allUnexplainedCrashes(TimePoint From) const {
+  std::map<UpstreamProcess, TimePoint> Crashes;
+  for (const auto &[Feature, Known] : EvidenceByFeature)
+    for (const auto &[Process, At] : Known.Crashes)
+      if (At >= From && !Explained.contains(Process) &&
+          isCrash(Process, At, FeatureKind::PromptPart))
+        Crashes.try_emplace(Process, At);
+  std::vector<TimePoint> Times;
+  for (const auto &[Process, At] : Crashes)
+    Times.push_back(At);
+  std::sort(Times.begin(), Times.end());
+  return Times;
+}
+
+double CrashAttribution::backgroundRate(const RequestFeature &Feature) const {
+  double Runs = PriorRuns;
+  double BrokenOff = PriorBrokenOff;
+  for (const RunEnd &Run : RunEnds) {
+    const bool Excluded =
+        contains(Run.Features, Feature) ||
+        std::any_of(Run.Features.begin(), Run.Features.end(),
+                    [this](const auto &Each) { return isQuarantined(Each); });
+    if (Excluded)
+      continue;
+    ++Runs;
+    BrokenOff += Run.BrokenOff ? 1 : 0;
+  }
+  return BrokenOff / Runs;
+}
+
+std::vector<CrashAttribution::Candidate> CrashAttribution::candidates() const {
+  std::vector<Candidate> List;
+  for (const auto &[Feature, Known] : EvidenceByFeature) {
+    const auto Current = Quarantines.find(Feature);
+    const bool OnProbation =
+        Current != Quarantines.end() && Current->second.Status.lapsed();
+    if (isQuarantined(Feature) ||
+        (Known.Crashes.size() < MinCrashes && !OnProbation))
+      continue;
+    const std::size_t Crashes =
+        countEpisodes(Feature.Kind, unexplainedCrashes(Feature, Known));
+    if (Crashes == 0 || (Crashes < MinCrashes && !OnProbation))
+      continue;
+    const auto Runs = std::count_if(RunEnds.begin(), RunEnds.end(),
+                                    [&Feature = Feature](const RunEnd &Run) {
+                                      return contains(Run.Features, Feature);
+                                    });
+    List.push_back({Feature, OwnAnswered.contains(Feature), Crashes,
+                    static_cast<std::size_t>(Runs)});
+  }
+  // A feature that was never answered is a likelier cause than one that was,
+  // and one of few requests a likelier cause than one of many.
+  std::sort(List.begin(), List.end(),
+            [](const Candidate &Left, const Candidate &Right) {
+              return std::tuple(Left.AnsweredBefore, Right.Crashes, Left.Runs) <
+                     std::tuple(Right.AnsweredBefore, Left.Crashes, Right.Runs);
+            });
+  return List;
+}
+
+bool CrashAttribution::isGuilty(const RequestFeature &Feature,
+                                const Evidence &Known, std::size_t &Crashes,
+                                double &Background) const {
+  const std::vector<TimePoint> Times = unexplainedCrashes(Feature, Known);
+  Crashes = countEpisodes(Feature.Kind, Times);
+  Background = backgroundRate(Feature);
+  if (Crashes == 0)
+    return false;
+  const auto Current = Quarantines.find(Feature);
+  if (Current != Quarantines.end() && Current->second.Status.lapsed())
+    return true;
+  if (Crashes >= MinCrashes &&
+      (Feature.Kind == FeatureKind::ExactRequest ||
+       Background < MaxBackgroundRate) &&
+      Crashes >= crashesNeeded(Feature.Kind, Background))
+    return true;
+  return Crashes >= MinCommonCrashes &&
+         static_cast<double>(Crashes) >=
+             MinCommonFraction *
+                 static_cast<double>(countEpisodes(
+                     Feature.Kind, allUnexplainedCrashes(Times.front())));
+}
+
+void CrashAttribution::explainCrashes() {
+  Explained.clear();
+  for (const auto &[Feature, Current] : Quarantines) {
+    const auto Found = EvidenceByFeature.find(Feature);
+    if (!Current.Status.quarantined() || Found == EvidenceByFeature.end())
+      continue;
+    for (const auto &[Process, At] : Found->second.Crashes)
+      Explained.insert(Process);
+  }
+}
+
+void CrashAttribution::beginQuarantine(const RequestFeature &Feature,
+                                       QuarantineChange Change) {
+  const TimePoint Now = Time.now();
+  Quarantine &Current = Quarantines[Feature];
+  Current.Status.begin();
+  Current.Probes = 0;
+  Current.Since = Current.RefusedAt = Now;
+  Current.BegunHere = true;
+  for (const auto &[Process, At] : EvidenceByFeature.at(Feature).Crashes)
+    Current.LastCrashAt = std::max(Current.LastCrashAt, At);
+  Changes.push_back(Change);
+  explainCrashes();
+}
+
+std::vector<QuarantineChange> CrashAttribution::update() {
+  expire();
+  endQuarantines();
+  blame();
+  return std::exchange(Changes, {});
+}
+
+void CrashAttribution::blame() {
+  explainCrashes();
+  for (const Candidate &Each : candidates()) {
+    QuarantineChange Change{Each.Feature, QuarantineChange::Cause::Crashes};
+    if (isGuilty(Each.Feature, EvidenceByFeature.at(Each.Feature),
+                 Change.Crashes, Change.BackgroundRate))
+      beginQuarantine(Each.Feature, Change);
+  }
+}
+
+bool CrashAttribution::isRefuted(const RequestFeature &Feature,
+                                 const Quarantine &Current) const {
+  const auto Found = EvidenceByFeature.find(Feature);
+  if (!Current.BegunHere || Found == EvidenceByFeature.end() ||
+      Found->second.Crashes.empty())
+    return false;
+  const auto Refuting =
+      std::count_if(Found->second.Crashes.begin(), Found->second.Crashes.end(),
+                    [&](const auto &Crash) {
+                      return hasResponded(Crash.first, Crash.second);
+                    });
+  return 2 * static_cast<std::size_t>(Refuting) >= Found->second.Crashes.size();
+}
+
+void CrashAttribution::endQuarantines() {
+  const TimePoint Now = Time.now();
+  for (auto &[Feature, Current] : Quarantines) {
+    if (!Current.Status.quarantined())
+      continue;
+    const bool Refuted = isRefuted(Feature, Current);
+    if (!Refuted && Now - Current.RefusedAt <= RetentionTime)
+      continue;
+    if (Refuted)
+      Current.Status.clear();
+    else
+      Current.Status.lapse();
+    Current.RefusedAt = Now;
+    EvidenceByFeature.erase(Feature);
+    Changes.push_back({Feature, Refuted ? QuarantineChange::Cause::Refuted
+                                        : QuarantineChange::Cause::Quiet});
+  }
+  while (Quarantines.size() > MaxQuarantines)
+    Quarantines.erase(
+        std::min_element(Quarantines.begin(), Quarantines.end(),
+                         [](const auto &Left, const auto &Right) {
+                           return std::tuple(Left.second.Status.quarantined(),
+                                             Left.second.RefusedAt) <
+                                  std::tuple(Right.second.Status.quarantined(),
+                                             Right.second.RefusedAt);
+                         }));
+}
+
+void CrashAttribution::expire() {
+  const TimePoint Now = Time.now();
+  for (auto &[Feature, Known] : EvidenceByFeature)
+    if (!isQuarantined(Feature))
+      std::erase_if(Known.Crashes, [Now](const auto &Crash) {
+        return Now - Crash.second > RetentionTime;
+      });
+  std::erase_if(EvidenceByFeature, [Now](const auto &Entry) {
+    return Entry.second.Crashes.empty() &&
+           Now - Entry.second.AnsweredAt > AnsweredRetention;
+  });
+  const auto Latest = [](const Evidence &Known) {
+    TimePoint At{};
+    for (const auto &[Process, CrashedAt] : Known.Crashes)
+      At = std::max(At, CrashedAt);
+    return At;
+  };
+  while (EvidenceByFeature.size() > MaxEvidence)
+    EvidenceByFeature.erase(std::min_element(
+        EvidenceByFeature.begin(), EvidenceByFeature.end(),
+        [&](const auto &Left, const auto &Right) {
+          return std::tuple(Left.second.Crashes.size(), Latest(Left.second)) <
+                 std::tuple(Right.second.Crashes.size(), Latest(Right.second));
+        }));
+  std::erase_if(Processes, [Now](const auto &Entry) {
+    return Now - Entry.second.BrokenOffAt > RetentionTime;
+  });
+  while (Processes.size() > MaxProcesses)
+    Processes.erase(std::min_element(Processes.begin(), Processes.end(),
+                                     [](const auto &Left, const auto &Right) {
+                                       return Left.second.BrokenOffAt <
+                                              Right.second.BrokenOffAt;
+                                     }));
+  while (!OwnCrashes.empty() && Now - OwnCrashes.front().At > ReportTime)
+    OwnCrashes.pop_front();
+}
+
+CrashReport CrashAttribution::report() {
+  expire();
+  const TimePoint Now = Time.now();
+  CrashReport Report;
+  for (const OwnCrash &Crash : OwnCrashes)
+    Report.Features[Crash.Feature].BrokenOff[Crash.Process] =
+        ageAt(Now, Crash.At);
+  for (const auto &[Feature, Known] : EvidenceByFeature) {
+    const auto Answered = OwnAnswered.find(Feature);
+    if (Answered != OwnAnswered.end() && Now - Answered->second <= ReportTime)
+      Report.Features[Feature].AnsweredAge = ageAt(Now, Answered->second);
+  }
+  limitFeatures(Report);
+  for (const auto &[Process, State] : Processes)
+    if (State.AliveHereAt != TimePoint{} &&
+        Now - State.AliveHereAt <= ReportTime)
+      Report.Alive.emplace(Process, ageAt(Now, State.AliveHereAt));
+  for (const auto &[Feature, Current] : Quarantines) {
+    QuarantineEntry Entry{Current.Status, Current.Probes, {}};
+    if (Current.RefusedHereAt != TimePoint{})
+      Entry.RefusedAge = ageAt(Now, Current.RefusedHereAt);
+    Report.Quarantines.emplace(Feature, Entry);
+  }
+  return Report;
+}
+
+void CrashAttribution::limitFeatures(CrashReport &Report) const {
+  // Those that most routers know crashes of matter most.
+  std::vector<std::tuple<std::size_t, FeatureKind, RequestFeature>> Ranked;
+  for (const auto &[Feature, Observed] : Report.Features) {
+    const auto Found = EvidenceByFeature.find(Feature);
+    const std::size_t Crashes =
+        Found == EvidenceByFeature.end() ? 0 : Found->second.Crashes.size();
+    Ranked.emplace_back(Crashes, Feature.Kind, Feature);
+  }
+  if (Ranked.size() <= MaxReportedFeatures)
+    return;
+  std::sort(Ranked.begin(), Ranked.end());
+  Ranked.resize(Ranked.size() - MaxReportedFeatures);
+  for (const auto &[Crashes, Kind, Feature] : Ranked)
+    Report.Features.erase(Feature);
+}
+
+std::size_t CrashAttribution::quarantinedCount() const {
+  return static_cast<std::size_t>(std::count_if(
+      Quarantines.begin(), Quarantines.end(),
+      [](const auto &Entry) { return Entry.second.Status.quarantined(); }));
+}
+
+} // namespace mallowglade
