Store quarantines of request features, so that they outlive all routers

Cause: quarantines were in the memory of routers. If all of them restart, as when all are killed at once, harmful requests reach upstreams again. Change: the first router of each zone writes quarantines to the metadata store (prefix quarantine/, one call for up to 32 changes, at most one a second) and removes those that ended; every router takes over what it reads. No read is added: the full read and the changes contain them. A store that lost them gets them again. Result: three tests of unit-dataplane-control and two of unit-platform-store pass; the interface is new, so they could not run before.

--- a/include/mallowglade/detail/dataplane/control.hpp
+++ b/include/mallowglade/detail/dataplane/control.hpp
@@ -89,6 +89,9 @@
   bool acceptConfiguration(ConfigurationVersion KnownConfig,
                            std::shared_ptr<const Configuration> Read);
   void publishState();
+  /// @brief Brings the quarantines in the store up to date, if this router is
+  ///   the first one of its zone.
+  void storeQuarantines();
   void renewRegistration();
   void exchangeReports();
   void receive();
@@ -149,6 +152,8 @@
   /// Hash over the era, the configuration version and the upstreams in `View`.
   std::uint64_t Fingerprint = 0;
   TimePoint LastReadStart{};
+  /// Earliest time of the next change of quarantines in the store.
+  TimePoint NextQuarantineChange{};
   bool ReadInProgress = false;
   bool StoreReachable = false;
   /// True if the last read failed. Before the first read ends, this and
--- a/include/mallowglade/detail/dataplane/fleet_state.hpp
+++ b/include/mallowglade/detail/dataplane/fleet_state.hpp
@@ -2,10 +2,12 @@
 
 #include <mallowglade/detail/dataplane/configuration.hpp>
 #include <mallowglade/detail/dataplane/store_position.hpp>
+#include <mallowglade/outcomes.hpp>
 
 #include <asio/ip/tcp.hpp>
 
 #include <functional>
+#include <map>
 #include <memory>
 #include <string>
 #include <vector>
@@ -48,6 +50,7 @@
   StorePosition ConfigWrittenAt;
   std::vector<UpstreamRecord> Upstreams;
   std::vector<RouterRecord> Routers;
+  std::map<RequestFeature, QuarantineEntry> Quarantines;
   /// Number of entries that could not be decoded.
   unsigned SkippedEntries = 0;
 };
@@ -70,6 +73,14 @@
                               std::function<void(Result<Success>)> Done) = 0;
   /// @brief Removes this router's registration.
   virtual void deregisterRouter() = 0;
+  /// @brief Writes quarantines, which outlive all routers, and removes others.
+  /// @param Write entries to write, `MaxQuarantineChanges` with `Remove`
+  virtual void
+  changeQuarantines(const std::map<RequestFeature, QuarantineEntry> &Write,
+                    const std::vector<RequestFeature> &Remove,
+                    std::function<void(Result<Success>)> Done) = 0;
+  /// Limit on the entries of one change.
+  static constexpr std::size_t MaxQuarantineChanges = 32;
 };
 
 } // namespace mallowglade::dataplane
--- a/include/mallowglade/detail/dataplane/traffic.hpp
+++ b/include/mallowglade/detail/dataplane/traffic.hpp
@@ -25,6 +25,8 @@
   TimePoint ProvenAt{};
   /// Number of routers alive.
   std::size_t Routers = 1;
+  /// Quarantines in the store.
+  CrashReport Stored;
 };
 
 /// @brief Sums of the other routers' reports.
--- a/src/dataplane/control.cpp
+++ b/src/dataplane/control.cpp
@@ -23,6 +23,8 @@
 /// The same while registered routers were not heard from. They may be slow, or
 /// gone and registered until their leases end.
 constexpr Milliseconds MaxRegisteredPeerWait{1'500};
+/// Minimum time between changes of the quarantines in the store.
+constexpr Milliseconds QuarantineChangePeriod{1'000};
 /// Period of registration renewals; the lease lasts for three periods.
 constexpr Milliseconds RegistrationRenewalPeriod{3'000};
 /// Period of the check for received datagrams.
@@ -286,6 +288,7 @@
   if (!View.Config)
     KnownConfig = newestKnownConfiguration();
   View.Upstreams = Restorations.apply(Read, ReadStart);
+  View.Stored.Quarantines = Read.Quarantines;
   const bool IsCurrent =
       RestoredConfig.record(Read, Peers.eraReports(Read.Era), ReadStart);
   const bool Proves =
@@ -399,6 +402,49 @@
   OwnCounters = Counters;
   ReportOutstanding = false;
   sendReport();
+  storeQuarantines();
+}
+
+void Control::storeQuarantines() {
+  const TimePoint Now = Time.now();
+  if (!StoreReachable || Now < NextQuarantineChange || Peers.zoneRank() > 0)
+    return;
+  auto &Stored = View.Stored.Quarantines;
+  std::map<RequestFeature, QuarantineEntry> Write;
+  std::vector<RequestFeature> Remove;
+  for (const auto &[Feature, Entry] : OwnReport.Crashes.Quarantines) {
+    if (Write.size() + Remove.size() >= FleetStore::MaxQuarantineChanges)
+      break;
+    const auto Found = Stored.find(Feature);
+    const bool IsStored = Found != Stored.end();
+    const bool Differs =
+        !IsStored || std::pair(Found->second.Status, Found->second.Probes) <
+                         std::pair(Entry.Status, Entry.Probes);
+    if (Entry.Status.quarantined() && Differs)
+      Write.emplace(Feature, QuarantineEntry{Entry.Status, Entry.Probes, {}});
+    else if (!Entry.Status.quarantined() && IsStored && Differs)
+      Remove.push_back(Feature);
+  }
+  if (Write.empty() && Remove.empty())
+    return;
+  NextQuarantineChange = Now + QuarantineChangePeriod;
+  for (const auto &[Feature, Entry] : Write)
+    Stored.insert_or_assign(Feature, Entry);
+  for (const RequestFeature &Feature : Remove)
+    Stored.erase(Feature);
+  Store.changeQuarantines(Write, Remove,
+                          [this, Write, Remove](const Result<Success> &Done) {
+                            if (isOk(Done))
+                              return;
+                            Log.write("quarantine_not_stored",
+                                      {{"cause", toString(errorOf(Done))}});
+                            // The change may or may not have been made; it is
+                            // made again.
+                            for (const auto &[Feature, Entry] : Write)
+                              View.Stored.Quarantines.erase(Feature);
+                            for (const RequestFeature &Feature : Remove)
+                              View.Stored.Quarantines.try_emplace(Feature);
+                          });
 }
 
 void Control::publishPeerSums() {
--- a/src/dataplane/traffic.cpp
+++ b/src/dataplane/traffic.cpp
@@ -151,6 +151,7 @@
   for (const UpstreamRecord &Removed : Upstreams.update(View.Upstreams))
     Pool.closeIdleConnections(Removed.Address);
   Retries.setRouters(View.Routers);
+  Crashes.merge(View.Stored);
   if (!View.Config)
     return;
   if (ConfigChanged)
@@ -193,6 +194,7 @@
 }
 
 TrafficReport Traffic::report() {
+  updateQuarantines();
   std::tie(Counters.UpstreamsLeaving, Counters.UpstreamsPaused) =
       Upstreams.countNoticed();
   return {Upstreams.ownLoads(),
--- a/tests/unit-dataplane-control.cpp
+++ b/tests/unit-dataplane-control.cpp
@@ -47,7 +47,7 @@
 /// Returns a state that the test sets, and counts the reads.
 class CountingStore final : public FleetStore {
 public:
-  CountingStore(asio::io_context &Context, const FleetState &State)
+  CountingStore(asio::io_context &Context, FleetState &State)
       : Context(Context), State(State) {}
   void read(std::function<void(Result<FleetState>)> Done) override {
     ++ReadCount;
@@ -60,16 +60,34 @@
     asio::post(Context, [Done = std::move(Done)] { Done(Success()); });
   }
   void deregisterRouter() override {}
+  void changeQuarantines(const std::map<RequestFeature, QuarantineEntry> &Write,
+                         const std::vector<RequestFeature> &Remove,
+                         std::function<void(Result<Success>)> Done) override {
+    ++ChangeCount;
+    if (ChangesFail) {
+      asio::post(Context, [Done = std::move(Done)] {
+        Done(Error{ErrorId::Unavailable, "", ""});
+      });
+      return;
+    }
+    for (const auto &[Feature, Entry] : Write)
+      State.Quarantines.insert_or_assign(Feature, Entry);
+    for (const RequestFeature &Feature : Remove)
+      State.Quarantines.erase(Feature);
+    asio::post(Context, [Done = std::move(Done)] { Done(Success()); });
+  }
   void observeEra(StoreEra Era) override { ObservedEra = Era; }
 
   StoreEra ObservedEra;
   unsigned ReadCount = 0;
+  unsigned ChangeCount = 0;
+  bool ChangesFail = false;
   /// Time from the start of a read to its result.
   Milliseconds ReadTime{0};
 
 private:
   asio::io_context &Context;
-  const FleetState &State;
+  FleetState &State;
 };
 
 /// Returns a loopback address derived from the process id, which concurrent
@@ -106,7 +124,7 @@
 class TestRouter final : public TrafficTaskQueue {
 public:
   TestRouter(asio::io_context &Context, const std::string &Zone,
-             const FleetState &State, std::uint64_t Number)
+             FleetState &State, std::uint64_t Number)
       : Context(Context), Settings(makeSettings(Number, Zone)), Random(Number),
         Log(open(LogPath, O_WRONLY), 1, Time), Store(Context, State),
         Proxy(Context, Settings, Wire, Time, Random, Log),
@@ -225,6 +243,9 @@
   CPPUNIT_TEST(readBegunBeforeOthersAreHeardIsNotTrusted);
   CPPUNIT_TEST(configurationThatNobodyReadIsWaitedFor);
   CPPUNIT_TEST(configurationStaysKnownWithoutItsReader);
+  CPPUNIT_TEST(quarantineOutlivesAllRouters);
+  CPPUNIT_TEST(quarantineIsStoredOnceTheStoreTakesIt);
+  CPPUNIT_TEST(quarantineLostByTheStoreIsWrittenAgain);
   CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -458,6 +479,73 @@
     for (const auto &Router : TestFleet.Routers)
       CPPUNIT_ASSERT(TestFleet.proofAge(*Router) < 1.9);
   }
+
+  // Guards against harm that is forgotten when all routers are killed.
+  void quarantineOutlivesAllRouters() {
+    FleetState Kept;
+    {
+      Fleet Former;
+      Former.Context.run_for(Milliseconds(1'000));
+      quarantine(*Former.Routers[1]);
+      Former.Context.run_for(Milliseconds(1'500));
+      for (const auto &Router : Former.Routers)
+        CPPUNIT_ASSERT_EQUAL(1.0, quarantinedFeatures(Former, *Router));
+      Kept = Former.State;
+      unsigned Changes = 0;
+      for (const auto &Router : Former.Routers)
+        Changes += Router->Store.ChangeCount;
+      // The first router of each zone writes.
+      CPPUNIT_ASSERT(Changes >= 1 && Changes <= 2);
+    }
+    CPPUNIT_ASSERT_EQUAL(std::size_t(1), Kept.Quarantines.size());
+    Fleet Next;
+    Next.State.Quarantines = Kept.Quarantines;
+    Next.Context.run_for(Milliseconds(1'500));
+    for (const auto &Router : Next.Routers)
+      CPPUNIT_ASSERT_EQUAL(1.0, quarantinedFeatures(Next, *Router));
+  }
+
+  // Guards against a quarantine that is never stored because the store failed
+  // when it began.
+  void quarantineIsStoredOnceTheStoreTakesIt() {
+    Fleet TestFleet;
+    TestFleet.Context.run_for(Milliseconds(1'000));
+    for (const auto &Router : TestFleet.Routers)
+      Router->Store.ChangesFail = true;
+    quarantine(*TestFleet.Routers[2]);
+    TestFleet.Context.run_for(Milliseconds(1'000));
+    CPPUNIT_ASSERT(TestFleet.State.Quarantines.empty());
+    for (const auto &Router : TestFleet.Routers)
+      Router->Store.ChangesFail = false;
+    TestFleet.Context.run_for(Milliseconds(2'500));
+    CPPUNIT_ASSERT_EQUAL(std::size_t(1), TestFleet.State.Quarantines.size());
+  }
+
+  // Guards against forgetting what a store lost that came back from a copy.
+  void quarantineLostByTheStoreIsWrittenAgain() {
+    Fleet TestFleet;
+    TestFleet.State.Era = StoreEra(1);
+    TestFleet.Context.run_for(Milliseconds(1'000));
+    quarantine(*TestFleet.Routers[0]);
+    TestFleet.Context.run_for(Milliseconds(1'000));
+    CPPUNIT_ASSERT_EQUAL(std::size_t(1), TestFleet.State.Quarantines.size());
+    TestFleet.State.Quarantines.clear();
+    TestFleet.State.Era = StoreEra(2);
+    TestFleet.Context.run_for(2 * Freshness + Milliseconds(1'500));
+    CPPUNIT_ASSERT_EQUAL(std::size_t(1), TestFleet.State.Quarantines.size());
+  }
+
+private:
+  static void quarantine(TestRouter &Target) {
+    QuarantineStatus Status;
+    Status.begin();
+    PeerSums Sums;
+    Sums.Crashes.Quarantines[{FeatureKind::PromptPart, 666}] = {Status, 0, {}};
+    Target.Proxy.applyPeerSums(Sums);
+  }
+  static double quarantinedFeatures(Fleet &Of, const TestRouter &Target) {
+    return Of.metric(Target, "mallowglade_quarantined_features");
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(DataplaneControlTest);
--- a/tests/unit-platform-store.cpp
+++ b/tests/unit-platform-store.cpp
@@ -1,3 +1,4 @@
+#include "../platform/entries.hpp"
 #include "../platform/store.hpp"
 
 #include <mallowglade/detail/platform/base64.hpp>
@@ -205,8 +206,28 @@
     LeaseHolders.erase(std::stoll(Request.matches[1]));
   }
 
-  void serveWrite(const httplib::Request &, httplib::Response &Response) {
-    ++Registrations;
+  void serveWrite(const httplib::Request &Request,
+                  httplib::Response &Response) {
+    const json Body = json::parse(Request.body);
+    const auto IsQuarantine = [](const std::string &Key) {
+      return Key.starts_with("quarantine/");
+    };
+    for (const json &Write : Body.at("write")) {
+      const std::string Key = Write.at("key");
+      if (!IsQuarantine(Key)) {
+        ++Registrations;
+        continue;
+      }
+      Entries[Key] = makeItem(Key, "");
+      Entries[Key]["value"] = Write.at("value");
+      History.push_back(Entries[Key]);
+    }
+    for (const std::string Key : Body.at("delete")) {
+      CPPUNIT_ASSERT(IsQuarantine(Key));
+      Entries.erase(Key);
+      History.push_back(
+          {{"key", Key}, {"revision", ++LastRevision}, {"deleted", true}});
+    }
     Response.set_content(json{{"revision", ++LastRevision}}.dump(),
                          "application/json");
   }
@@ -248,6 +269,22 @@
     return *Outcome;
   }
 
+  /// Reads as a router that has just started.
+  Result<dataplane::FleetState> readAnew() {
+    platform::PlatformStore Started(Context,
+                                    {asio::ip::make_address("127.0.0.1"),
+                                     static_cast<std::uint16_t>(Platform.Port)},
+                                    Time, StoreHistory);
+    std::optional<Result<dataplane::FleetState>> Outcome;
+    Started.read(
+        [&](const Result<dataplane::FleetState> &Read) { Outcome = Read; });
+    Context.restart();
+    while (!Outcome && Context.run_one() > 0)
+      ;
+    CPPUNIT_ASSERT(Outcome.has_value());
+    return *Outcome;
+  }
+
   /// Registers the router, or renews its registration.
   void registerRouter() {
     bool Ended = false;
@@ -259,6 +296,18 @@
       ;
   }
 
+  void changeQuarantines(const std::map<RequestFeature, QuarantineEntry> &Write,
+                         const std::vector<RequestFeature> &Remove) {
+    bool Ended = false;
+    Client.changeQuarantines(Write, Remove, [&](const Result<Success> &Done) {
+      Ended = true;
+      CPPUNIT_ASSERT(isOk(Done));
+    });
+    Context.restart();
+    while (!Ended && Context.run_one() > 0)
+      ;
+  }
+
   std::set<std::string> readyUpstreams() {
     const auto Read = read();
     CPPUNIT_ASSERT(isOk(Read));
@@ -287,6 +336,8 @@
   CPPUNIT_TEST(configurationOfTheCopyIsReported);
   CPPUNIT_TEST(twoRestoresInARow);
   CPPUNIT_TEST(leaseGivenOutAgainIsLeftAlone);
+  CPPUNIT_TEST(quarantinesAreWrittenReadAndRemoved);
+  CPPUNIT_TEST(foreignQuarantineEntriesAreSkipped);
   CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -471,6 +522,46 @@
     CPPUNIT_ASSERT_EQUAL(2U, Fixture.Platform.Registrations.load());
     CPPUNIT_ASSERT_EQUAL(0U, Fixture.Platform.ForeignLeaseCalls.load());
   }
+
+  // Guards against quarantines that do not outlive the routers, and against
+  // fields that the encoder or the decoder omits.
+  void quarantinesAreWrittenReadAndRemoved() {
+    StoreFixture Fixture;
+    const RequestFeature Part{FeatureKind::PromptPart, 0xabcdef};
+    const RequestFeature Exact{FeatureKind::ExactRequest, 0xabcdef};
+    QuarantineStatus Status;
+    Status.begin();
+    Fixture.changeQuarantines(
+        {{Part, {Status, 1, {}}}, {Exact, {Status, 0, {}}}}, {});
+    for (const bool NewClient : {false, true}) {
+      const auto Read = NewClient ? Fixture.readAnew() : Fixture.read();
+      const auto &Quarantines = valueOf(Read).Quarantines;
+      CPPUNIT_ASSERT_EQUAL(std::size_t(2), Quarantines.size());
+      CPPUNIT_ASSERT(Quarantines.at(Part).Status == Status);
+      CPPUNIT_ASSERT_EQUAL(1U, Quarantines.at(Part).Probes);
+    }
+    Fixture.changeQuarantines({}, {Part});
+    CPPUNIT_ASSERT_EQUAL(std::size_t(1),
+                         valueOf(Fixture.read()).Quarantines.size());
+    CPPUNIT_ASSERT_EQUAL(std::size_t(1),
+                         valueOf(Fixture.readAnew()).Quarantines.size());
+  }
+
+  // Guards against a process that ends because of an entry of another writer.
+  void foreignQuarantineEntriesAreSkipped() {
+    using platform::decodeFeature;
+    using platform::decodeQuarantine;
+    for (const char *Name : {"", "prompt_part", "prompt_part-", "x-1",
+                             "prompt_part-12g", "prompt_part-12 "})
+      CPPUNIT_ASSERT(!isOk(decodeFeature(Name)));
+    for (const char *Text :
+         {"", "{", "[]", "{}", R"({"status":1})",
+          R"({"status":"1","probes":0})", R"({"status":-1,"probes":0})"})
+      CPPUNIT_ASSERT(!isOk(decodeQuarantine(Text)));
+    const RequestFeature Part{FeatureKind::PromptPart, 7};
+    CPPUNIT_ASSERT(valueOf(decodeFeature(platform::encodeFeature(Part))) ==
+                   Part);
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(PlatformStoreTest);
