--- a/tests/unit-platform-store.cpp
+++ b/tests/unit-platform-store.cpp
@@ -47,6 +47,12 @@
                 [this](const auto &Request, auto &Response) {
                   serveWrite(Request, Response);
                 });
+    Server.set_pre_routing_handler([this](const auto &, auto &Response) {
+      if (!ReplacedBody)
+        return httplib::Server::HandlerResponse::Unhandled;
+      Response.set_content(*ReplacedBody, "application/json");
+      return httplib::Server::HandlerResponse::Handled;
+    });
     Server.set_post_routing_handler([this](const auto &, auto &Response) {
       Response.set_header("Store-Era", std::to_string(Era));
     });
@@ -114,6 +120,8 @@
   }
 
   std::atomic<bool> Failing{false};
+  /// Sent instead of the body of each response; set while the store is idle.
+  std::optional<std::string> ReplacedBody;
   std::atomic<unsigned> PageRequests{0};
   std::atomic<unsigned> OldPageRequests{0};
   std::atomic<unsigned> WatchRequests{0};
@@ -286,14 +294,20 @@
   }
 
   /// Registers the router, or renews its registration.
-  void registerRouter() {
+  /// @return true if the store acknowledged it
+  bool registerRouter() {
     bool Ended = false;
+    bool Registered = false;
     Client.registerRouter(
         {RouterId("127.0.0.1:1"), ZoneId("a"), "127.0.0.1:2", "127.0.0.1:1"},
-        [&](const Result<Success> &) { Ended = true; });
+        [&](const Result<Success> &Outcome) {
+          Ended = true;
+          Registered = isOk(Outcome);
+        });
     Context.restart();
     while (!Ended && Context.run_one() > 0)
       ;
+    return Registered;
   }
 
   void changeQuarantines(const std::map<RequestFeature, QuarantineEntry> &Write,
@@ -338,6 +352,8 @@
   CPPUNIT_TEST(leaseGivenOutAgainIsLeftAlone);
   CPPUNIT_TEST(quarantinesAreWrittenReadAndRemoved);
   CPPUNIT_TEST(foreignQuarantineEntriesAreSkipped);
+  CPPUNIT_TEST(responsesOfAnotherFormAreErrors);
+  CPPUNIT_TEST(endlessResponseIsAnError);
   CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -562,6 +578,40 @@
     CPPUNIT_ASSERT(valueOf(decodeFeature(platform::encodeFeature(Part))) ==
                    Part);
   }
+
+  // Guards against a process that ends because a response of the store broke
+  // off, or has members of another type than expected.
+  void responsesOfAnotherFormAreErrors() {
+    for (const char *Body :
+         {"", "null", "[]", "7", R"("text")", R"({"lease":"7"})",
+          R"({"lease":null,"entries":5,"events":"x"})"}) {
+      StoreFixture Fixture;
+      Fixture.Platform.ReplacedBody = Body;
+      CPPUNIT_ASSERT_MESSAGE(Body, !Fixture.registerRouter());
+      CPPUNIT_ASSERT_MESSAGE(Body, !isOk(Fixture.read()));
+      Fixture.Platform.ReplacedBody.reset();
+      CPPUNIT_ASSERT(Fixture.registerRouter());
+      CPPUNIT_ASSERT_EQUAL(std::size_t(5), Fixture.readyUpstreams().size());
+    }
+    StoreFixture Fixture;
+    Fixture.Platform.ReplacedBody =
+        R"({"at":"y","has_more":1,"entries":[5,null,{"key":7},{"key":"servers/a","value":3}],)"
+        R"("events":[]})";
+    CPPUNIT_ASSERT(Fixture.readyUpstreams().empty());
+  }
+
+  // Guards against taking the first part of a response for the whole, and
+  // against memory that grows with what the store sends.
+  void endlessResponseIsAnError() {
+    StoreFixture Fixture;
+    constexpr std::size_t MoreThanAllowed = std::size_t(12) << 20U;
+    Fixture.Platform.ReplacedBody =
+        R"({"at":1,"entries":[],"has_more":false})" +
+        std::string(MoreThanAllowed, ' ');
+    const auto Read = Fixture.read();
+    CPPUNIT_ASSERT(!isOk(Read));
+    CPPUNIT_ASSERT(errorOf(Read).Detail.find("exceeds") != std::string::npos);
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(PlatformStoreTest);
