End requests in flight before the parts that they use; withdraw requests still connecting

Cause: at the end of a process, requests in flight notified members of Traffic that were destroyed already. A request whose connection was still being made when its upstream asked for a pause, said that it leaves, or its feature went into quarantine, was sent nevertheless. Change: Traffic closes the server's connections first; the connection asks its observer before it sends on a new connection (outcome router_stopped, attempt not sent). The linger option is set only when it changes.

--- a/include/mallowglade/detail/dataplane/request_run.hpp
+++ b/include/mallowglade/detail/dataplane/request_run.hpp
@@ -31,6 +31,7 @@
   void place(const PlacementChoice &Choice) override;
   void refuse(Refusal Reason, Milliseconds RetryAfter) override;
 
+  bool maySend() override;
   void onResponseHead(http1::ResponseHead &Head) override;
   void onResponseBody(std::string_view Data) override;
   void onResponseEnd() override;
--- a/include/mallowglade/detail/dataplane/traffic.hpp
+++ b/include/mallowglade/detail/dataplane/traffic.hpp
@@ -165,6 +165,10 @@
   bool RefusingNewRequests = false;
   bool RefusingNewStreams = false;
   bool ListeningEnded = false;
+  /// True while this object is destroyed.
+  bool Ending = false;
+  /// Lets posted tasks notice that this object is gone.
+  std::shared_ptr<const bool> Alive = std::make_shared<const bool>(true);
 };
 
 } // namespace mallowglade::dataplane
--- a/include/mallowglade/detail/dataplane/upstream_table.hpp
+++ b/include/mallowglade/detail/dataplane/upstream_table.hpp
@@ -102,6 +102,9 @@
   bool isLeaving(const UpstreamRecord &Upstream) const {
     return Notices.isLeaving(Upstream);
   }
+  /// @return true if the process is listed as ready and has neither said that
+  ///   it is leaving nor asked for a pause that has not ended
+  bool takesRequests(const UpstreamRecord &Upstream) const;
   /// @return numbers of listed upstreams that are leaving and that are paused
   std::pair<std::size_t, std::size_t> countNoticed() const;
   /// @return loads from requests of this router, to report to the others
--- a/include/mallowglade/detail/http1/server.hpp
+++ b/include/mallowglade/detail/http1/server.hpp
@@ -114,6 +114,7 @@
   bool CloseAfterResponse = false;
   bool InputEnded = false;
   bool DiscardingInput = false;
+  bool ResetsOnClose = false;
 };
 
 /// @brief HTTP/1 server that passes each complete request to a handler.
@@ -136,6 +137,8 @@
   void drain();
   /// @brief Closes all idle connections.
   void closeIdle();
+  /// @brief Closes the listening socket and all connections at once.
+  void closeAll();
   /// @brief Accepts the connections that wait, as their requests may have been
   ///   sent already, and closes the listening socket. Until `listen` is called
   ///   again, the operating system refuses new connections.
--- a/include/mallowglade/detail/http1/upstream_connection.hpp
+++ b/include/mallowglade/detail/http1/upstream_connection.hpp
@@ -18,6 +18,9 @@
 enum class ExchangeFailure {
   /// The connection could not be established; nothing was sent.
   NotConnected,
+  /// The observer did not want the request to be sent any more; nothing was
+  /// sent.
+  Withdrawn,
   /// A reused connection was closed before the first byte was sent.
   ClosedBeforeUse,
   /// The connection was closed after the request may have been sent.
@@ -33,6 +36,10 @@
 class ExchangeObserver {
 public:
   virtual ~ExchangeObserver() = default;
+  /// @brief Called when a new connection was established, before the request is
+  ///   sent on it.
+  /// @return false to withdraw the request
+  virtual bool maySend() { return true; }
   /// @brief Called when the head of the response was received.
   virtual void onResponseHead(ResponseHead &Head) = 0;
   /// @brief Called when bytes of the body were received.
--- a/src/dataplane/request_run.cpp
+++ b/src/dataplane/request_run.cpp
@@ -181,6 +181,11 @@
   return Message;
 }
 
+bool RequestRun::maySend() {
+  const bool Refused = !IsProbe && Proxy.Crashes.refusedFor(Features);
+  return !Refused && Proxy.Upstreams.takesRequests(TargetUpstream);
+}
+
 void RequestRun::onResponseHead(http1::ResponseHead &Received) {
   Head = std::move(Received);
   const ResponseMetadata Response = Proxy.Wire.readResponse(Head);
@@ -307,6 +312,10 @@
   if (Done)
     return;
   endAttempt(false);
+  if (Failure == http1::ExchangeFailure::Withdrawn) {
+    retryOrFail(AttemptFailure::NotSent, "upstream_unavailable");
+    return;
+  }
   if (Failure == http1::ExchangeFailure::ClosedBeforeUse ||
       Failure == http1::ExchangeFailure::NotConnected) {
     if (Failure == http1::ExchangeFailure::NotConnected) {
@@ -439,8 +448,12 @@
   if (Done)
     return;
   Proxy.Queue.withdraw(this);
-  ++Proxy.Counters.CallersGone;
   endAttempt(false);
+  if (Proxy.Ending) {
+    complete("router_stopped", 0);
+    return;
+  }
+  ++Proxy.Counters.CallersGone;
   complete("caller_gone", 0);
 }
 
--- a/src/dataplane/traffic.cpp
+++ b/src/dataplane/traffic.cpp
@@ -86,7 +86,11 @@
       Retries(Settings.Retries, Time), Crashes(Time, Random.next()),
       Ticker(Context) {}
 
-Traffic::~Traffic() = default;
+Traffic::~Traffic() {
+  // The requests in flight use the other members until they have ended.
+  Ending = true;
+  Server.closeAll();
+}
 
 std::error_code Traffic::start() {
   const std::error_code Error = Server.listen();
@@ -230,7 +234,9 @@
   if (DispatchScheduled || Queue.waiting() == 0)
     return;
   DispatchScheduled = true;
-  asio::post(Context, [this] {
+  asio::post(Context, [this, Guard = std::weak_ptr(Alive)] {
+    if (Guard.expired())
+      return;
     DispatchScheduled = false;
     Queue.dispatch();
   });
--- a/src/dataplane/upstream_table.cpp
+++ b/src/dataplane/upstream_table.cpp
@@ -163,6 +163,13 @@
     applyNotices(*State);
 }
 
+bool UpstreamTable::takesRequests(const UpstreamRecord &Upstream) const {
+  const auto Found = Upstreams.find(Upstream.Id);
+  return Found != Upstreams.end() && Found->second.staysInUse() &&
+         sameProcess(Found->second.Record, Upstream) &&
+         Found->second.PausedUntil <= Time.now();
+}
+
 std::pair<std::size_t, std::size_t> UpstreamTable::countNoticed() const {
   const TimePoint Now = Time.now();
   std::pair<std::size_t, std::size_t> Counts;
--- a/src/http1/server.cpp
+++ b/src/http1/server.cpp
@@ -22,7 +22,10 @@
     : Context(Context), Address(Address), Acceptor(Context),
       RetryTimer(Context), Limits(Limits), Handler(std::move(Handler)) {}
 
-Http1Server::~Http1Server() {
+Http1Server::~Http1Server() { closeAll(); }
+
+void Http1Server::closeAll() {
+  pauseListening();
   const std::vector<ServerConnection *> Connections(OpenConnections.begin(),
                                                     OpenConnections.end());
   for (ServerConnection *Connection : Connections)
--- a/src/http1/server_connection.cpp
+++ b/src/http1/server_connection.cpp
@@ -89,6 +89,9 @@
 }
 
 void ServerConnection::setResetOnClose(bool Reset) {
+  if (ResetsOnClose == Reset)
+    return;
+  ResetsOnClose = Reset;
   // With a linger time of zero, the operating system resets the connection when
   // the socket is closed, also when it closes those of a process that ended.
   const linger Option{Reset ? 1 : 0, 0};
--- a/src/http1/upstream_connection.cpp
+++ b/src/http1/upstream_connection.cpp
@@ -105,6 +105,10 @@
   Connected = true;
   Timer.cancel();
   configure(Socket, Timeouts);
+  if (Observer && !Observer->maySend()) {
+    fail(ExchangeFailure::Withdrawn);
+    return;
+  }
   writeRequest();
 }
 
--- a/tests/unit-dataplane-proxy.cpp
+++ b/tests/unit-dataplane-proxy.cpp
@@ -51,6 +51,7 @@
   CPPUNIT_TEST(staleCredentialsAreNotAccepted);
   CPPUNIT_TEST(stoppingRouterRefusesNewRequests);
   CPPUNIT_TEST(connectionsToUpstreamsAreReused);
+  CPPUNIT_TEST(requestsInFlightEndWithTheRouter);
   CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -364,6 +365,20 @@
     }
     CPPUNIT_ASSERT_EQUAL(std::size_t(1), H.Sessions.size());
   }
+
+  // Guards against requests that use parts of a router which are gone already,
+  // when the process ends before their responses.
+  void requestsInFlightEndWithTheRouter() {
+    Harness H(1);
+    for (const char *Id : {"r1", "r2", "r3", "r4", "r5", "r6"})
+      H.sendAsCaller(H.connect(), Harness::callerRequest("GET", "/safe/x", Id));
+    CPPUNIT_ASSERT(H.runUntil([&] { return H.requestCount() == 4; }));
+    H.Router.reset();
+    CPPUNIT_ASSERT(H.runUntil([&] {
+      return H.closedByRouter(0) && H.closedByRouter(5) &&
+             H.Sessions[0]->ClosedByRouter;
+    }));
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(DataplaneProxyTest);
