Bound only bodies without a length; derive the hold of a restored store; wait for slow routers

Cause: a body with a length above 64 MiB was cut; restored_store_hold_ms had a default that fits one deployment; a starting router waited 1.5 s for registered ones although reports may be further apart in large zones. Change: the limit holds for bodies without an announced length; the hold is twice credential_freshness_ms if absent; the wait is five report periods, 1.5 s at least.

--- a/include/mallowglade/detail/dataplane/node_settings.hpp
+++ b/include/mallowglade/detail/dataplane/node_settings.hpp
@@ -34,7 +34,7 @@
   /// Time after a restoration of the metadata store within which the operator
   /// writes again what was lost. Until then, or until a configuration is
   /// written, credentials are accepted for `CredentialFreshness` only.
-  Milliseconds RestoredStoreHold{10'000};
+  Milliseconds RestoredStoreHold{};
   /// Time between renewals of an upstream's registration.
   Milliseconds UpstreamHeartbeat{1'200};
   /// Time from the start of a graceful shutdown to the end of the process.
--- a/include/mallowglade/detail/dataplane/response_reader.hpp
+++ b/include/mallowglade/detail/dataplane/response_reader.hpp
@@ -88,7 +88,7 @@
   static constexpr std::size_t MaxEventBytes = 1'048'576;
   /// Maximum size of the body of a response that is dropped.
   static constexpr std::uint64_t MaxDiscardedBytes = 65'536;
-  /// Maximum size of the body of any response.
+  /// Maximum size of a body whose length is not announced.
   static constexpr std::uint64_t MaxBodyBytes = 67'108'864;
 
 private:
@@ -96,6 +96,7 @@
   Handling Mode = Handling::AwaitHead;
   /// True if the end of the connection ends the body.
   bool EndsWithConnection = false;
+  bool HasLength = false;
   /// True once the current response had a complete event.
   bool AnyEvent = false;
   std::uint64_t BodyBytes = 0;
--- a/src/dataplane/control.cpp
+++ b/src/dataplane/control.cpp
@@ -20,9 +20,11 @@
 /// Longest time that a starting router waits for a report of another one before
 /// it takes a configuration, if none is registered; several report periods.
 constexpr Milliseconds MaxPeerWait{500};
-/// The same while registered routers were not heard from. They may be slow, or
-/// gone and registered until their leases end.
-constexpr Milliseconds MaxRegisteredPeerWait{1'500};
+/// The same while registered routers were not heard from, at least and as a
+/// number of report periods. They may be slow, or gone and registered until
+/// their leases end.
+constexpr Milliseconds MinRegisteredPeerWait{1'500};
+constexpr int RegisteredPeerWaitPeriods = 5;
 /// Minimum time between changes of the quarantines in the store.
 constexpr Milliseconds QuarantineChangePeriod{1'000};
 /// Period of registration renewals; the lease lasts for three periods.
@@ -170,7 +172,9 @@
     return true;
   const auto Waited = Now - StartedAt;
   return Peers.anyRegisteredUnheard()
-             ? Waited >= MaxRegisteredPeerWait
+             ? Waited >=
+                   std::max(MinRegisteredPeerWait,
+                            RegisteredPeerWaitPeriods * Peers.reportPeriod())
              : Peers.liveRouters() > 1 || Waited >= MaxPeerWait;
 }
 
--- a/src/dataplane/node_settings.cpp
+++ b/src/dataplane/node_settings.cpp
@@ -16,6 +16,9 @@
 constexpr std::int64_t MaxPort = 65'535;
 constexpr double MaxRatio = 10;
 constexpr double MaxSlack = 1e6;
+/// Time for the operator to write again after a restoration of the store, as a
+/// multiple of the time after which a withdrawn credential is not accepted.
+constexpr int RestoredStoreHoldFactor = 2;
 
 std::string portAddress(JsonReader &Peers, const std::string &Host,
                         std::int64_t Port) {
@@ -96,9 +99,9 @@
       Milliseconds(Root.integer("state_freshness_ms", 1, MaxMilliseconds));
   Settings.StoreHistory = std::chrono::seconds(Root.integer(
       "store_history_s", 1, MaxSeconds, Settings.StoreHistory.count()));
-  Settings.RestoredStoreHold =
-      Milliseconds(Root.integer("restored_store_hold_ms", 1, MaxMilliseconds,
-                                Settings.RestoredStoreHold.count()));
+  Settings.RestoredStoreHold = Milliseconds(Root.integer(
+      "restored_store_hold_ms", 1, MaxMilliseconds,
+      RestoredStoreHoldFactor * Settings.CredentialFreshness.count()));
   Settings.UpstreamHeartbeat =
       Milliseconds(Root.integer("upstream_heartbeat_ms", 1, MaxMilliseconds,
                                 Settings.UpstreamHeartbeat.count()));
--- a/src/dataplane/response_reader.cpp
+++ b/src/dataplane/response_reader.cpp
@@ -50,6 +50,7 @@
                                     const ResponseMetadata &Metadata,
                                     bool Relaying) {
   EndsWithConnection = Head.Framing == http1::BodyFraming::UntilClose;
+  HasLength = Head.Framing == http1::BodyFraming::Length;
   if (Metadata.NotExecuted) {
     Mode = Handling::Discard;
     return ResponseFault::None;
@@ -67,9 +68,10 @@
 
 ResponseFault ResponseReader::receive(std::string_view Data) {
   BodyBytes += Data.size();
-  const std::uint64_t Limit =
-      Mode == Handling::Discard ? MaxDiscardedBytes : MaxBodyBytes;
-  if (BodyBytes > Limit)
+  const bool Endless = Mode == Handling::Discard
+                           ? BodyBytes > MaxDiscardedBytes
+                           : !HasLength && BodyBytes > MaxBodyBytes;
+  if (Endless)
     return ResponseFault::TooLarge;
   switch (Mode) {
   case Handling::AwaitHead:
--- a/tests/integration/soak.cpp
+++ b/tests/integration/soak.cpp
@@ -488,16 +488,14 @@
     By.push_back(std::make_unique<Caller>(Fleet, Found, Number, Seed + Number));
     Threads.emplace_back([&Stop, Each = By.back().get()] { Each->run(Stop); });
   }
-  // Streams break off inside an event. With odd seeds some have no frame. An
-  // orderly close between two events is the end of such a stream, so cuts by
-  // the proxy, which stand for a broken network, are resets then.
-  const bool Unframed = Seed % 2 == 1;
+  // Streams break off inside an event, and some have no frame. An orderly close
+  // between two events is the end of such a stream, so that the proxy resets
+  // the connections of these when it cuts them.
   constexpr unsigned UnframedEvery = 2;
   constexpr unsigned BreakOffEvery = 5;
-  Fleet.control({{"unframed", Unframed ? UnframedEvery : 0},
-                 {"break_off", BreakOffEvery}});
-  for (int At = 0; Unframed && At < Size.Replicas; ++At)
-    Fleet.fault(Deployment::replicaName(At), {{"reset", true}});
+  Fleet.control({{"unframed", UnframedEvery}, {"break_off", BreakOffEvery}});
+  for (int At = 0; At < Size.Replicas; ++At)
+    Fleet.fault(Deployment::replicaName(At), {{"reset_unframed", true}});
   const auto End = std::chrono::steady_clock::now() + Span;
   std::vector<std::thread> Injectors;
   Injectors.reserve(static_cast<std::size_t>(Size.Injectors));
--- a/tests/integration/test-node.cpp
+++ b/tests/integration/test-node.cpp
@@ -198,19 +198,15 @@
       Whole += "id: " + std::to_string(Event) + "\ndata: e" +
                std::to_string(Event) + "\n\n";
     constexpr int Streams = 18;
-    int Served = 0;
     for (int Number = 0; Number < Streams; ++Number) {
       auto Caller = Deployment::clientOf(Number % 2);
       const auto Stream = Caller.Post(
           "/stream/x", Deployment::requestHeaders("s" + std::to_string(Number)),
           "b", "text/plain");
-      if (!Stream)
-        continue;
-      ++Served;
+      // Of any two attempts in a row at most one breaks off.
+      CPPUNIT_ASSERT(Stream);
       CPPUNIT_ASSERT_EQUAL(Whole, Stream->body);
     }
-    // Streams may break off twice, and a route has two attempts.
-    CPPUNIT_ASSERT(Served >= Streams / 2);
   }
 
   // Guards against requests that SIGTERM interrupts: a stream that is running
--- a/tests/standins/fault-proxy.cpp
+++ b/tests/standins/fault-proxy.cpp
@@ -13,8 +13,9 @@
 //                 are not affected
 //   lose_replies  true: requests are passed on; the connection is closed at
 //                 the first byte of the reply
-//   reset         true: connections that are cut or lose replies end with a
-//                 reset instead of an orderly close
+//   reset_unframed true: connections that are cut or lose replies end with a
+//                 reset if the response on them has neither a length nor
+//                 chunks, since an orderly close would end it
 //   cut_sources   list of client addresses; their connections, old and new,
 //                 pass nothing until the list is replaced
 // A route refuses connections while its target does, as a direct connection
@@ -46,7 +47,7 @@
   std::chrono::milliseconds Delay{0};
   bool DropNew = false;
   std::optional<long> CutAfter;
-  bool Reset = false;
+  bool ResetUnframed = false;
   bool LoseReplies = false;
   std::set<std::string> CutSources;
 };
@@ -131,6 +132,8 @@
       endDirection(To);
       return;
     }
+    if (!TowardsTarget)
+      noteHead(*Next);
     if (!TowardsTarget && applyCut(*Next)) {
       writeAndClose(To, Next);
       return;
@@ -147,6 +150,18 @@
       close();
   }
 
+  /// A head comes with the first bytes of a block, as the stand-ins send it in
+  /// one piece.
+  void noteHead(const Block &Received) {
+    const std::string_view Bytes(Received.Data.data(), Received.Size);
+    if (!Bytes.starts_with("HTTP/1.1 "))
+      return;
+    const std::string_view Head = Bytes.substr(0, Bytes.find("\r\n\r\n"));
+    ResponseUnframed =
+        Head.find("\r\nContent-Length: ") == std::string_view::npos &&
+        Head.find("\r\nTransfer-Encoding: ") == std::string_view::npos;
+  }
+
   /// @return true if the connection has to end after this block
   bool applyCut(Block &Next) {
     if (Through.Set.LoseReplies) {
@@ -172,7 +187,7 @@
 
   void cut() {
     asio::error_code Ignored;
-    if (Through.Set.Reset)
+    if (Through.Set.ResetUnframed && ResponseUnframed)
       Client.set_option(asio::socket_base::linger(true, 0), Ignored);
     close();
   }
@@ -208,6 +223,7 @@
   std::function<void()> OnRefused;
   std::string Source;
   bool Silent = false;
+  bool ResponseUnframed = false;
   long ToClient = 0;
   int EndedDirections = 0;
 };
@@ -234,7 +250,7 @@
     Set.Delay = std::chrono::milliseconds(
         Change.value("delay_ms", static_cast<int>(Set.Delay.count())));
     Set.DropNew = Change.value("drop_new", Set.DropNew);
-    Set.Reset = Change.value("reset", Set.Reset);
+    Set.ResetUnframed = Change.value("reset_unframed", Set.ResetUnframed);
     Set.LoseReplies = Change.value("lose_replies", Set.LoseReplies);
     if (Change.contains("cut_after"))
       Set.CutAfter = Change["cut_after"].get<long>();
--- a/tests/unit-dataplane-control.cpp
+++ b/tests/unit-dataplane-control.cpp
@@ -112,6 +112,7 @@
   Settings.PeerListen = loopbackAddress(Router, 7004);
   Settings.MetricsListen = loopbackAddress(Router, 7005);
   Settings.CredentialFreshness = Milliseconds(5'000);
+  Settings.RestoredStoreHold = Milliseconds(10'000);
   Settings.StateFreshness = Freshness;
   Settings.StopGrace = std::chrono::seconds(8);
   Settings.MaxAddressTtl = std::chrono::seconds(5);
@@ -241,6 +242,7 @@
   CPPUNIT_TEST(restoredConfigurationProvesNothing);
   CPPUNIT_TEST(restartedRouterDoesNotTrustTheCopy);
   CPPUNIT_TEST(readBegunBeforeOthersAreHeardIsNotTrusted);
+  CPPUNIT_TEST(slowRegisteredRouterIsWaitedFor);
   CPPUNIT_TEST(configurationThatNobodyReadIsWaitedFor);
   CPPUNIT_TEST(configurationStaysKnownWithoutItsReader);
   CPPUNIT_TEST(quarantineOutlivesAllRouters);
@@ -425,6 +427,36 @@
     CPPUNIT_ASSERT_EQUAL(0.0, TestFleet.configurationVersion(Restarted));
   }
 
+  // Guards against a starting router that takes the copy's configuration
+  // because the only router that knows a newer one is slow to report.
+  void slowRegisteredRouterIsWaitedFor() {
+    Fleet TestFleet;
+    const std::uint64_t Number = TestFleet.Routers.size() + 1;
+    FleetState Copy;
+    Copy.Era = StoreEra(2);
+    Copy.Config = makeConfiguration(4);
+    TestRouter Started(TestFleet.Context, "a", Copy, Number);
+    const RouterRecord Slow{RouterId(loopbackAddress(200, 7'004)), ZoneId("a"),
+                            loopbackAddress(200, 7'001),
+                            loopbackAddress(200, 7'004)};
+    Copy.Routers = {Slow};
+    CPPUNIT_ASSERT(!Started.State.start());
+    TestFleet.Context.run_for(Milliseconds(1'000));
+    PeerReport Report;
+    Report.Sender = Slow.Id;
+    Report.Incarnation = Report.Sequence = 1;
+    Report.Zone = ZoneId("a");
+    Report.CallerAddress = Slow.CallerAddress;
+    Report.Config = ConfigurationVersion(5);
+    Report.Era = StoreEra(2);
+    const HostPort Target = splitAddress(Started.Settings.PeerListen);
+    asio::ip::udp::socket Sender(TestFleet.Context, asio::ip::udp::v4());
+    Sender.send_to(asio::buffer(encodeReport(Report)),
+                   {asio::ip::make_address(Target.Host), Target.Port});
+    TestFleet.Context.run_for(Milliseconds(700));
+    CPPUNIT_ASSERT_EQUAL(0.0, TestFleet.configurationVersion(Started));
+  }
+
   // Guards against taking the copy's configuration for current although the
   // store may have lost a newer one that no router had read, also by a router
   // that starts meanwhile.
--- a/tests/unit-dataplane-response-reader.cpp
+++ b/tests/unit-dataplane-response-reader.cpp
@@ -126,6 +126,7 @@
   CPPUNIT_TEST_SUITE(ResponseReaderTest);
   CPPUNIT_TEST(brokenResponsesAreNeverWhole);
   CPPUNIT_TEST(largeResponsesAreRelayed);
+  CPPUNIT_TEST(onlyBodiesWithoutALengthAreBounded);
   CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -209,6 +210,32 @@
       CPPUNIT_ASSERT(!Target.finish(End::Orderly));
     }
   }
+
+  // Guards against a body without end, and against cutting a large one whose
+  // end is known.
+  void onlyBodiesWithoutALengthAreBounded() {
+    const std::string Piece(std::size_t(1) << 20U, 'x');
+    for (const BodyFraming Framing :
+         {BodyFraming::Length, BodyFraming::Chunked, BodyFraming::UntilClose}) {
+      http1::ResponseHead Head;
+      Head.Status = 200;
+      Head.Framing = Framing;
+      ResponseMetadata Metadata;
+      Metadata.Signed = true;
+      ResponseReader Reader(false);
+      CPPUNIT_ASSERT(Reader.begin(Head, Metadata, false) ==
+                     ResponseFault::None);
+      ResponseFault Fault = ResponseFault::None;
+      std::uint64_t Passed = 0;
+      while (Fault == ResponseFault::None &&
+             Passed <= 2 * ResponseReader::MaxBodyBytes) {
+        Fault = Reader.receive(Piece);
+        Passed += Reader.takeRelayable().size();
+      }
+      CPPUNIT_ASSERT((Fault == ResponseFault::TooLarge) ==
+                     (Framing != BodyFraming::Length));
+    }
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(ResponseReaderTest);
