Blame the shared start of bodies on routers with policy cell, and renew convictions

Cause: the older data path had the same fault: CrashQuarantine knows exact requests only, and convicts for ten minutes, after which the same request may crash three upstreams again. Change: QuarantineService uses CrashAttribution for the request and the first 1,024 bytes of its body, exchanges reports with all routers every 250 ms, lists and releases these features; convictions are renewed while requests with the fingerprint come. Conclusion: CrashQuarantine stays for the isolation of suspects in the cell; what all routers lose at once is learnt again there.

--- a/include/mallowglade/detail/outcomes/crash_attribution.hpp
+++ b/include/mallowglade/detail/outcomes/crash_attribution.hpp
@@ -56,6 +56,9 @@
   /// Time after which a run that broke off counts as a crash if nothing was
   /// heard of the process since. Longer than reports take.
   static constexpr Milliseconds SettleTime{500};
+  /// Responses that arrive this long after a run broke off were not sent
+  /// before.
+  static constexpr Milliseconds LifeMargin{250};
   /// Crashes that are closer in time may have one common cause outside the
   /// requests, so they count as one.
   static constexpr Milliseconds EpisodeGap{250};
--- a/include/mallowglade/detail/outcomes/crash_quarantine.hpp
+++ b/include/mallowglade/detail/outcomes/crash_quarantine.hpp
@@ -59,6 +59,10 @@
   /// @return remaining time of a conviction, or `std::nullopt`
   std::optional<Milliseconds>
   convictionTimeLeft(Fingerprint RequestFingerprint) const;
+  /// @brief Keeps a conviction from ending, since requests with the fingerprint
+  ///   still come.
+  /// @return false if there is none
+  bool renewConviction(Fingerprint RequestFingerprint);
   /// @brief Ends the suspicion or conviction of a fingerprint.
   /// @return false if there is none
   bool release(Fingerprint RequestFingerprint);
--- a/include/mallowglade/detail/router/quarantine_service.hpp
+++ b/include/mallowglade/detail/router/quarantine_service.hpp
@@ -12,7 +12,8 @@
 
 namespace mallowglade {
 
-/// @brief Shares convictions among routers and serves the operators' calls.
+/// @brief Shares convictions and evidence of crashes among routers and serves
+///   the operators' calls.
 class QuarantineService final
     : public RouterPart,
       public std::enable_shared_from_this<QuarantineService> {
@@ -25,6 +26,14 @@
   /// @return time left of a conviction, or nothing; control thread only
   std::optional<Milliseconds>
   convictionTimeLeft(Fingerprint RequestFingerprint) const;
+  /// @brief Returns for what a request must be refused, and keeps the
+  ///   convictions of its fingerprint from ending; control thread only.
+  std::optional<RequestFeature> refusedFor(const RequestFeatures &Features);
+  /// @brief Records a request that was answered in full; control thread only.
+  void recordAnswered(const RequestFeatures &Features);
+  /// @brief Records a request on whose execution an upstream crashed; control
+  ///   thread only.
+  void recordCrash(const RequestFeatures &Features, const UpstreamId &Upstream);
   /// @brief Registers a callback for new convictions, on the control thread.
   void onConviction(std::function<void()> Changed);
   /// @brief Adds `GET /admin/quarantine` and `POST /admin/quarantine/release`.
@@ -34,6 +43,9 @@
 private:
   void tick();
   void send();
+  void sendReport();
+  void sendToOthers(const std::string &Type, const std::string &Body);
+  void logChanges();
   void receive(const std::vector<QuarantineRecord> &Records);
   void notify();
   AdminReply list(const AdminRequest &Request);
@@ -41,6 +53,7 @@
 
   RouterContext Context;
   std::shared_ptr<CrashQuarantine> Guard;
+  CrashAttribution Attribution;
   std::vector<std::function<void()>> Listeners;
   std::uint64_t SentVersion = 0;
   TimePoint NextRepeat{};
--- a/include/mallowglade/detail/router/request_run.hpp
+++ b/include/mallowglade/detail/router/request_run.hpp
@@ -14,6 +14,8 @@
   EventStream Events;
   /// Identifies equal requests of a workspace.
   Fingerprint RequestFingerprint;
+  /// What may make upstreams crash: the request, and the start of its body.
+  RequestFeatures Features;
   bool Claimed = false;
   /// True once the request has its verdict; control thread only.
   bool Ended = false;
--- a/include/mallowglade/detail/router/request_runner.hpp
+++ b/include/mallowglade/detail/router/request_runner.hpp
@@ -80,6 +80,8 @@
   bool refuseIfConvicted(const RunPointer &Current);
   void dispatch(const RunPointer &Current, const Assignment &Where);
   void runAttempt(const RunPointer &Current, const Assignment &Where);
+  void recordEnd(const RunPointer &Current, const Assignment &Where,
+                 AttemptEnd End);
   void attemptEnded(const RunPointer &Current, const Assignment &Where,
                     const AttemptOutcome &Outcome,
                     const AttemptProgress &Progress);
--- a/include/mallowglade/outcomes.hpp
+++ b/include/mallowglade/outcomes.hpp
@@ -12,5 +12,6 @@
 #include <mallowglade/detail/outcomes/crash_attribution.hpp>
 #include <mallowglade/detail/outcomes/crash_quarantine.hpp>
 #include <mallowglade/detail/outcomes/crash_report.hpp>
+#include <mallowglade/detail/outcomes/crash_report_codec.hpp>
 #include <mallowglade/detail/outcomes/quarantine_codec.hpp>
 #include <mallowglade/detail/outcomes/verdict.hpp>
--- a/src/dataplane/peer_message.cpp
+++ b/src/dataplane/peer_message.cpp
@@ -19,17 +19,6 @@
 using LoadRow = std::tuple<std::uint64_t, std::uint32_t, std::uint32_t,
                            std::uint32_t, std::uint32_t>;
 using UsageRow = std::tuple<std::uint64_t, std::uint32_t, std::uint32_t>;
-/// Process and age in milliseconds.
-using ProcessRow = std::tuple<std::uint64_t, std::uint32_t>;
-/// Kind, hash, processes, age of the last answer.
-using FeatureRow =
-    std::tuple<std::uint8_t, std::uint64_t, std::vector<ProcessRow>,
-               std::vector<std::uint32_t>>;
-/// Kind, hash, status, probes, age of the last refusal.
-using QuarantineRow = std::tuple<std::uint8_t, std::uint64_t, std::uint32_t,
-                                 std::uint32_t, std::vector<std::uint32_t>>;
-using CrashRows = std::tuple<std::vector<FeatureRow>, std::vector<ProcessRow>,
-                             std::vector<QuarantineRow>>;
 using SequenceRow = std::tuple<std::string, std::uint64_t>;
 using ProofRow =
     std::tuple<std::uint64_t, std::uint32_t, std::vector<SequenceRow>>;
@@ -38,7 +27,7 @@
     std::tuple<unsigned, std::string, std::uint64_t, std::uint64_t, std::string,
                bool, std::uint64_t, std::vector<LoadRow>, std::vector<UsageRow>,
                std::vector<ProofRow>, std::string, std::vector<MemberRow>,
-               double, bool, CrashRows, std::uint64_t,
+               double, bool, std::string, std::uint64_t,
                std::vector<std::uint64_t>, bool>;
 
 std::uint32_t toUint32(double Value) {
@@ -47,71 +36,6 @@
       std::lround(std::min(std::max(Value, 0.0), MaxValue)));
 }
 
-std::uint32_t toUint32(Milliseconds Age) {
-  return toUint32(static_cast<double>(Age.count()));
-}
-
-std::vector<ProcessRow> encodeProcesses(const ProcessAges &Ages) {
-  std::vector<ProcessRow> Rows;
-  for (const auto &[Process, Age] : Ages)
-    Rows.emplace_back(Process.Value, toUint32(Age));
-  return Rows;
-}
-
-ProcessAges decodeProcesses(const std::vector<ProcessRow> &Rows) {
-  ProcessAges Ages;
-  for (const auto &[Process, Age] : Rows)
-    Ages.insert_or_assign(UpstreamProcess(Process), Milliseconds(Age));
-  return Ages;
-}
-
-std::vector<std::uint32_t> encodeAge(const std::optional<Milliseconds> &Age) {
-  return Age ? std::vector{toUint32(*Age)} : std::vector<std::uint32_t>();
-}
-
-std::optional<Milliseconds> decodeAge(const std::vector<std::uint32_t> &Row) {
-  return Row.empty() ? std::nullopt : std::optional(Milliseconds(Row.front()));
-}
-
-std::optional<RequestFeature> decodeFeature(std::uint8_t Kind,
-                                            std::uint64_t Hash) {
-  if (Kind > static_cast<std::uint8_t>(FeatureKind::PromptPart))
-    return std::nullopt;
-  return RequestFeature{static_cast<FeatureKind>(Kind), Hash};
-}
-
-CrashRows encodeCrashes(const CrashReport &Report) {
-  CrashRows Rows;
-  auto &[Features, Alive, Quarantines] = Rows;
-  for (const auto &[Feature, Observed] : Report.Features)
-    Features.emplace_back(static_cast<std::uint8_t>(Feature.Kind), Feature.Hash,
-                          encodeProcesses(Observed.BrokenOff),
-                          encodeAge(Observed.AnsweredAge));
-  Alive = encodeProcesses(Report.Alive);
-  for (const auto &[Feature, Entry] : Report.Quarantines)
-    Quarantines.emplace_back(static_cast<std::uint8_t>(Feature.Kind),
-                             Feature.Hash, Entry.Status.number(), Entry.Probes,
-                             encodeAge(Entry.RefusedAge));
-  return Rows;
-}
-
-CrashReport decodeCrashes(const CrashRows &Rows) {
-  const auto &[Features, Alive, Quarantines] = Rows;
-  CrashReport Report;
-  for (const auto &[Kind, Hash, BrokenOff, Answered] : Features)
-    if (const auto Feature = decodeFeature(Kind, Hash))
-      Report.Features.insert_or_assign(
-          *Feature,
-          FeatureObservation{decodeProcesses(BrokenOff), decodeAge(Answered)});
-  Report.Alive = decodeProcesses(Alive);
-  for (const auto &[Kind, Hash, Status, Probes, Refused] : Quarantines)
-    if (const auto Feature = decodeFeature(Kind, Hash))
-      Report.Quarantines.insert_or_assign(
-          *Feature, QuarantineEntry{QuarantineStatus(Status), Probes,
-                                    decodeAge(Refused)});
-  return Report;
-}
-
 } // namespace
 
 std::string encodeReport(const PeerReport &Report) {
@@ -136,7 +60,7 @@
   Zone = Report.Zone.Value;
   WorkLimitFactorSum = Report.WorkLimitFactorSum;
   StoreUnavailable = Report.StoreUnavailable;
-  Crashes = encodeCrashes(Report.Crashes);
+  Crashes = encodeCrashReport(Report.Crashes);
   Era = Report.Era.Value;
   ProofHeld = Report.ProofHeld;
   for (const UpstreamKey &Key : Report.Departed)
@@ -171,7 +95,12 @@
       return Error{ErrorId::InvalidMessage,
                    "peer report has no sender or an unsupported format version",
                    {}};
+    const auto DecodedCrashes = decodeCrashReport(Crashes);
+    if (!DecodedCrashes)
+      return Error{
+          ErrorId::InvalidMessage, "peer report has a malformed part", {}};
     PeerReport Report;
+    Report.Crashes = *DecodedCrashes;
     Report.Sender = RouterId(Sender);
     Report.Incarnation = Incarnation;
     Report.Sequence = Sequence;
@@ -186,7 +115,6 @@
     Report.Zone = ZoneId(Zone);
     Report.WorkLimitFactorSum = WorkLimitFactorSum;
     Report.StoreUnavailable = StoreUnavailable;
-    Report.Crashes = decodeCrashes(Crashes);
     Report.Era = StoreEra(Era);
     Report.ProofHeld = ProofHeld;
     for (const std::uint64_t Key : Departed)
--- /dev/null
+++ b/src/outcomes/crash_blame.cpp
@@ -0,0 +1,226 @@
+#include <mallowglade/outcomes.hpp>
+
+#include <algorithm>
+#include <cmath>
+#include <tuple>
+
+namespace mallowglade {
+
+namespace {
+
+/// Probability with which a harmful feature breaks off a run.
+constexpr double HarmfulCrashRate = 0.95;
+/// Bound on the probability that the crashes of a harmless feature put it into
+/// quarantine.
+constexpr double FalseQuarantineRate = 1e-3;
+/// Fraction of runs broken off above which it does not tell features apart.
+constexpr double MaxBackgroundRate = 0.5;
+/// If more is broken off, a feature is blamed that most crashes have in common.
+constexpr std::size_t MinCommonCrashes = 5;
+constexpr double MinCommonFraction = 0.75;
+/// Estimate of the background rate before there are runs to tell, as a number
+/// of runs.
+constexpr double PriorRuns = 20;
+constexpr double PriorBrokenOff = 0.5;
+
+bool contains(const RequestFeatures &Features, const RequestFeature &Feature) {
+  return std::find(Features.begin(), Features.end(), Feature) != Features.end();
+}
+
+/// Number of crashes that are apart in time; crashes by a request that is
+/// repeated have no other common cause.
+std::size_t countEpisodes(FeatureKind Kind,
+                          const std::vector<TimePoint> &Crashes) {
+  if (Kind == FeatureKind::ExactRequest)
+    return Crashes.size();
+  std::size_t Count = 0;
+  TimePoint Last{};
+  for (const TimePoint At : Crashes) {
+    if (Count > 0 && At - Last < CrashAttribution::EpisodeGap)
+      continue;
+    ++Count;
+    Last = At;
+  }
+  return Count;
+}
+
+/// Number of crashes after which a feature is blamed.
+std::size_t crashesNeeded(FeatureKind Kind, double Background) {
+  // Harmless requests are not repeated so often.
+  if (Kind == FeatureKind::ExactRequest)
+    return CrashAttribution::MinCrashes;
+  const double PerCrash = std::log(HarmfulCrashRate / Background);
+  const double Needed = std::ceil(-std::log(FalseQuarantineRate) / PerCrash);
+  return std::max(CrashAttribution::MinCrashes,
+                  static_cast<std::size_t>(Needed));
+}
+
+} // namespace
+
+bool CrashAttribution::isSuspect(const RequestFeature &Feature,
+                                 const Evidence &Known) const {
+  return Known.Crashes.size() >= MinCrashes && !isQuarantined(Feature) &&
+         unexplainedCrashes(Feature, Known).size() >= MinCrashes;
+}
+
+bool CrashAttribution::hasResponded(UpstreamProcess Process,
+                                    TimePoint BrokenOffAt) const {
+  const auto Found = Processes.find(Process);
+  return Found != Processes.end() &&
+         Found->second.AliveAt >= BrokenOffAt + LifeMargin;
+}
+
+bool CrashAttribution::isCrash(UpstreamProcess Process, TimePoint At,
+                               FeatureKind Kind) const {
+  const auto Found = Processes.find(Process);
+  if (Found == Processes.end() || hasResponded(Process, At))
+    return false;
+  return Kind == FeatureKind::ExactRequest || Found->second.Gone ||
+         Time.now() - At >= SettleTime;
+}
+
+std::vector<TimePoint>
+CrashAttribution::unexplainedCrashes(const RequestFeature &Feature,
+                                     const Evidence &Known) const {
+  std::vector<TimePoint> Times;
+  for (const auto &[Process, At] : Known.Crashes)
+    if (!Explained.contains(Process) && isCrash(Process, At, Feature.Kind))
+      Times.push_back(At);
+  std::sort(Times.begin(), Times.end());
+  return Times;
+}
+
+std::vector<TimePoint>
+CrashAttribution::allUnexplainedCrashes(TimePoint From) const {
+  std::map<UpstreamProcess, TimePoint> Crashes;
+  for (const auto &[Feature, Known] : EvidenceByFeature)
+    for (const auto &[Process, At] : Known.Crashes)
+      if (At >= From && !Explained.contains(Process) &&
+          isCrash(Process, At, FeatureKind::PromptPart))
+        Crashes.try_emplace(Process, At);
+  std::vector<TimePoint> Times;
+  for (const auto &[Process, At] : Crashes)
+    Times.push_back(At);
+  std::sort(Times.begin(), Times.end());
+  return Times;
+}
+
+double CrashAttribution::backgroundRate(const RequestFeature &Feature) const {
+  double Runs = PriorRuns;
+  double BrokenOff = PriorBrokenOff;
+  for (const RunEnd &Run : RunEnds) {
+    const bool Excluded =
+        contains(Run.Features, Feature) ||
+        std::any_of(Run.Features.begin(), Run.Features.end(),
+                    [this](const auto &Each) { return isQuarantined(Each); });
+    if (Excluded)
+      continue;
+    ++Runs;
+    BrokenOff += Run.BrokenOff ? 1 : 0;
+  }
+  return BrokenOff / Runs;
+}
+
+std::vector<CrashAttribution::Candidate> CrashAttribution::candidates() const {
+  std::vector<Candidate> List;
+  for (const auto &[Feature, Known] : EvidenceByFeature) {
+    const auto Current = Quarantines.find(Feature);
+    const bool OnProbation =
+        Current != Quarantines.end() && Current->second.Status.lapsed();
+    if (isQuarantined(Feature) ||
+        (Known.Crashes.size() < MinCrashes && !OnProbation))
+      continue;
+    const std::size_t Crashes =
+        countEpisodes(Feature.Kind, unexplainedCrashes(Feature, Known));
+    if (Crashes == 0 || (Crashes < MinCrashes && !OnProbation))
+      continue;
+    const auto Runs = std::count_if(RunEnds.begin(), RunEnds.end(),
+                                    [&Feature = Feature](const RunEnd &Run) {
+                                      return contains(Run.Features, Feature);
+                                    });
+    List.push_back({Feature, OwnAnswered.contains(Feature), Crashes,
+                    static_cast<std::size_t>(Runs)});
+  }
+  // A feature that was never answered is a likelier cause than one that was,
+  // and one of few requests a likelier cause than one of many.
+  std::sort(List.begin(), List.end(),
+            [](const Candidate &Left, const Candidate &Right) {
+              return std::tuple(Left.AnsweredBefore, Right.Crashes, Left.Runs) <
+                     std::tuple(Right.AnsweredBefore, Left.Crashes, Right.Runs);
+            });
+  return List;
+}
+
+bool CrashAttribution::isGuilty(const RequestFeature &Feature,
+                                const Evidence &Known, std::size_t &Crashes,
+                                double &Background) const {
+  const std::vector<TimePoint> Times = unexplainedCrashes(Feature, Known);
+  Crashes = countEpisodes(Feature.Kind, Times);
+  Background = backgroundRate(Feature);
+  if (Crashes == 0)
+    return false;
+  const auto Current = Quarantines.find(Feature);
+  if (Current != Quarantines.end() && Current->second.Status.lapsed())
+    return true;
+  if (Crashes >= MinCrashes &&
+      (Feature.Kind == FeatureKind::ExactRequest ||
+       Background < MaxBackgroundRate) &&
+      Crashes >= crashesNeeded(Feature.Kind, Background))
+    return true;
+  return Crashes >= MinCommonCrashes &&
+         static_cast<double>(Crashes) >=
+             MinCommonFraction *
+                 static_cast<double>(countEpisodes(
+                     Feature.Kind, allUnexplainedCrashes(Times.front())));
+}
+
+void CrashAttribution::explainCrashes() {
+  Explained.clear();
+  for (const auto &[Feature, Current] : Quarantines) {
+    const auto Found = EvidenceByFeature.find(Feature);
+    if (!Current.Status.quarantined() || Found == EvidenceByFeature.end())
+      continue;
+    for (const auto &[Process, At] : Found->second.Crashes)
+      Explained.insert(Process);
+  }
+}
+
+void CrashAttribution::beginQuarantine(const RequestFeature &Feature,
+                                       QuarantineChange Change) {
+  const TimePoint Now = Time.now();
+  Quarantine &Current = Quarantines[Feature];
+  Current.Status.begin();
+  Current.Probes = 0;
+  Current.Since = Current.RefusedAt = Now;
+  Current.BegunHere = true;
+  for (const auto &[Process, At] : EvidenceByFeature.at(Feature).Crashes)
+    Current.LastCrashAt = std::max(Current.LastCrashAt, At);
+  Changes.push_back(Change);
+  explainCrashes();
+}
+
+void CrashAttribution::blame() {
+  explainCrashes();
+  for (const Candidate &Each : candidates()) {
+    QuarantineChange Change{Each.Feature, QuarantineChange::Cause::Crashes};
+    if (isGuilty(Each.Feature, EvidenceByFeature.at(Each.Feature),
+                 Change.Crashes, Change.BackgroundRate))
+      beginQuarantine(Each.Feature, Change);
+  }
+}
+
+bool CrashAttribution::isRefuted(const RequestFeature &Feature,
+                                 const Quarantine &Current) const {
+  const auto Found = EvidenceByFeature.find(Feature);
+  if (!Current.BegunHere || Found == EvidenceByFeature.end() ||
+      Found->second.Crashes.empty())
+    return false;
+  const auto Refuting =
+      std::count_if(Found->second.Crashes.begin(), Found->second.Crashes.end(),
+                    [&](const auto &Crash) {
+                      return hasResponded(Crash.first, Crash.second);
+                    });
+  return 2 * static_cast<std::size_t>(Refuting) >= Found->second.Crashes.size();
+}
+
+} // namespace mallowglade
--- a/src/outcomes/crash_quarantine.cpp
+++ b/src/outcomes/crash_quarantine.cpp
@@ -242,6 +242,19 @@
   return remainingTime(*Found->second.ConvictedUntil, Time.now());
 }
 
+bool CrashQuarantine::renewConviction(Fingerprint RequestFingerprint) {
+  const auto Left = convictionTimeLeft(RequestFingerprint);
+  if (!Left)
+    return false;
+  // Renewed early enough for the other routers to learn it.
+  if (*Left < ConvictionDuration / 2) {
+    SuspectStates.at(RequestFingerprint).ConvictedUntil =
+        Time.now() + ConvictionDuration;
+    ++Version;
+  }
+  return true;
+}
+
 bool CrashQuarantine::release(Fingerprint RequestFingerprint) {
   if (SuspectStates.erase(RequestFingerprint) == 0)
     return false;
--- a/src/router/request_runner.cpp
+++ b/src/router/request_runner.cpp
@@ -54,6 +54,19 @@
   return Fingerprint(stableHash(Identity));
 }
 
+std::uint64_t prefixHash(const RouterRequest &Request) {
+  return stableHash(
+      std::string_view(Request.Payload.Body).substr(0, PrefixBytes));
+}
+
+RequestFeatures featuresOf(const RouterRequest &Request, Fingerprint Exact) {
+  RequestFeatures Features{{FeatureKind::ExactRequest, Exact.Value}};
+  // A shorter body belongs to the request itself.
+  if (Request.Payload.Body.size() > PrefixBytes)
+    Features.push_back({FeatureKind::PromptPart, prefixHash(Request)});
+  return Features;
+}
+
 } // namespace
 
 RequestRunner::RequestRunner(RouterContext Context, AnswerStore &Answers,
@@ -68,6 +81,7 @@
   Current->History.MaxAttempts = MaxAttempts;
   Current->Request = std::move(Request);
   Current->RequestFingerprint = fingerprintOf(Current->Request);
+  Current->Features = featuresOf(Current->Request, Current->RequestFingerprint);
   Current->Target = std::move(Target);
   Context.Control.post([Self = shared_from_this(), Current] {
     Self->Runs.insert(Current);
@@ -119,8 +133,7 @@
   Wanted.Pool = Request.Pool.Id;
   Wanted.Hint = estimateCost(Request.Pool, Request.Payload.Body);
   Wanted.RequestFingerprint = Current->RequestFingerprint;
-  Wanted.PrefixHash =
-      stableHash(std::string_view(Request.Payload.Body).substr(0, PrefixBytes));
+  Wanted.PrefixHash = prefixHash(Request);
   Wanted.Avoid = Current->Avoid;
   const auto Dispatch =
       Context.Services.find<Dispatcher>(service_name::Dispatcher);
@@ -143,19 +156,20 @@
 bool RequestRunner::refuseIfConvicted(const RunPointer &Current) {
   const auto Quarantine =
       Context.Services.find<QuarantineService>(service_name::Quarantine);
-  const auto Left =
-      Quarantine == nullptr
-          ? std::nullopt
-          : Quarantine->convictionTimeLeft(Current->RequestFingerprint);
-  if (!Left)
+  const auto Blamed = Quarantine == nullptr
+                          ? std::nullopt
+                          : Quarantine->refusedFor(Current->Features);
+  if (!Blamed)
     return false;
-  const Error Reason{ErrorId::Quarantined,
-                     "the request crashed upstreams; fingerprint " +
-                         toHex(Current->RequestFingerprint.Value),
-                     ""};
+  const Milliseconds Left =
+      Quarantine->convictionTimeLeft(Fingerprint(Blamed->Hash))
+          .value_or(CrashAttribution::ProbeTimes.front());
+  const Error Reason{
+      ErrorId::Quarantined,
+      "the request crashed upstreams; fingerprint " + toHex(Blamed->Hash), ""};
   const Verdict Outcome =
       Current->History.MayHaveRun ? Verdict::Unknown : Verdict::NotRun;
-  finish(Current, Problem{Reason, Outcome, Current->Request.Id, *Left});
+  finish(Current, Problem{Reason, Outcome, Current->Request.Id, Left});
   return true;
 }
 
@@ -166,8 +180,7 @@
       Context.Services.find<QuarantineService>(service_name::Quarantine);
   const std::set<RunPointer> Open = Runs;
   for (const RunPointer &Current : Open)
-    if (Current->Queued &&
-        Quarantine->convictionTimeLeft(Current->RequestFingerprint) &&
+    if (Current->Queued && Quarantine->refusedFor(Current->Features) &&
         Dispatch->cancel(Current->Request.Id))
       refuseIfConvicted(Current);
 }
@@ -201,14 +214,27 @@
   return First ? Outcome.End : AttemptEnd::UpstreamCrashed;
 }
 
+void RequestRunner::recordEnd(const RunPointer &Current,
+                              const Assignment &Where, AttemptEnd End) {
+  const auto Quarantine =
+      Context.Services.find<QuarantineService>(service_name::Quarantine);
+  if (Quarantine == nullptr)
+    return;
+  if (End == AttemptEnd::Answered)
+    Quarantine->recordAnswered(Current->Features);
+  else if (End == AttemptEnd::UpstreamCrashed)
+    Quarantine->recordCrash(Current->Features, Where.Upstream);
+}
+
 void RequestRunner::attemptEnded(const RunPointer &Current,
                                  const Assignment &Where,
                                  const AttemptOutcome &Outcome,
                                  const AttemptProgress &Progress) {
   const AttemptEnd End = Outcome.End;
+  const AttemptEnd Reported = reportedEnd(Current, Outcome);
+  recordEnd(Current, Where, Reported);
   Context.Services.find<Dispatcher>(service_name::Dispatcher)
-      ->finish(Current->Request.Id, Where, reportedEnd(Current, Outcome),
-               Progress);
+      ->finish(Current->Request.Id, Where, Reported, Progress);
   Context.Measures.count("mallowglade_attempts_total",
                          {{"pool", Current->Request.Pool.Id.Value},
                           {"end", std::to_string(static_cast<int>(End))}});
--- a/tests/unit-quarantine.cpp
+++ b/tests/unit-quarantine.cpp
@@ -158,6 +158,7 @@
   CPPUNIT_TEST(convictionsAreImportedByANewOwner);
   CPPUNIT_TEST(releaseEndsAConviction);
   CPPUNIT_TEST(convictionEndsAfterTenMinutes);
+  CPPUNIT_TEST(convictionLastsAsLongAsRequestsCome);
   CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -290,6 +291,20 @@
     CPPUNIT_ASSERT(Quarantine.mayPlace(PoisonFingerprint, upstream(4)));
   }
 
+  // Guards against a request that crashes three upstreams every ten minutes.
+  void convictionLastsAsLongAsRequestsCome() {
+    ManualClock Time;
+    CrashQuarantine Quarantine(Time);
+    CPPUNIT_ASSERT(!Quarantine.renewConviction(PoisonFingerprint));
+    convict(Quarantine);
+    for (int Minute = 0; Minute < 60; ++Minute) {
+      Time.advance(std::chrono::minutes(1));
+      Quarantine.expire();
+      CPPUNIT_ASSERT(Quarantine.renewConviction(PoisonFingerprint));
+      CPPUNIT_ASSERT(!Quarantine.mayPlace(PoisonFingerprint, upstream(4)));
+    }
+  }
+
 private:
   static void convict(CrashQuarantine &Quarantine) {
     for (std::uint64_t Number = 0; Number < 2; ++Number) {
