Ask for a full report when a router runs a grant that the cell does not know

Cause: the owner of a cell restarts while one of its grants is on the way. Result: grantOfTheFormerOwnerIsFound fails without the change and passes. Conclusion: a session that begins with the new owner would end the rest; open.

--- a/src/scheduling/cell_accounts.cpp
+++ b/src/scheduling/cell_accounts.cpp
@@ -17,9 +17,13 @@
 
 } // namespace
 
-void Cell::acknowledge(const RouterEntry &Router, GrantId Id,
+void Cell::acknowledge(RouterEntry &Router, GrantId Id,
                        std::uint64_t Sequence) {
   const auto Found = Grants.find(Id);
+  // A grant of the previous owner that arrived after the router's full report
+  // takes a slot that this owner does not know of.
+  if (Found == Grants.end() && !Closed.contains(Id))
+    Router.FullReportNeeded = true;
   if (Found == Grants.end() || Found->second.Router != Router.Id ||
       Found->second.Acknowledged)
     return;
--- a/tests/unit-scheduling-cell.cpp
+++ b/tests/unit-scheduling-cell.cpp
@@ -71,6 +71,7 @@
   CPPUNIT_TEST(guardFiltersAndObservesPlacements);
   CPPUNIT_TEST(repeatedAndStaleGrantsAreNotDispatched);
   CPPUNIT_TEST(newOwnerWaitsForReportsAndKeepsOrder);
+  CPPUNIT_TEST(grantOfTheFormerOwnerIsFound);
   CPPUNIT_TEST(lateReportDoesNotReviveEndedGrant);
   CPPUNIT_TEST(partitionSidesNeverExceedLimit);
   CPPUNIT_TEST(limitAdaptsToTokenTimes);
@@ -175,6 +176,34 @@
     CPPUNIT_ASSERT(Grants[0].Upstream == UpstreamId("u1"));
   }
 
+  // Guards against a new owner that gives away a slot whose grant, from before
+  // a restart, reached the router after its full report.
+  void grantOfTheFormerOwnerIsFound() {
+    TestedCell = makeCell(nullptr, 1);
+    TestedCell->receive(Near, reportOf(1, {}), Now);
+    TestedCell->decide(Now);
+    DemandReport Delta = reportOf(2, {});
+    Delta.Full = false;
+    Delta.Accepted = {GrantId(77)};
+    TestedCell->receive(Near, Delta, Now);
+    bool AskedForFullReport = false;
+    for (const CellAction &Action : TestedCell->decide(Now))
+      if (const auto *Sent = std::get_if<Outgoing<Allotment>>(&Action))
+        AskedForFullReport |=
+            Sent->Recipient == Near && Sent->Body.Session == Epoch(0);
+    CPPUNIT_ASSERT(AskedForFullReport);
+    DemandReport Full = reportOf(3, {itemOf(1), itemOf(2)});
+    HeldGrant Held;
+    Held.Grant = GrantId(77);
+    Held.Workspace = WorkspaceId("w");
+    Held.Upstream = UpstreamId("u0");
+    Full.Held.push_back(Held);
+    TestedCell->receive(Near, Full, Now);
+    const auto Grants = grantsIn(TestedCell->decide(Now));
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, Grants.size());
+    CPPUNIT_ASSERT(Grants[0].Upstream != UpstreamId("u0"));
+  }
+
   // Guards against leaked slots when messages arrive out of order.
   void lateReportDoesNotReviveEndedGrant() {
     TestedCell->receive(Near, reportOf(1, {itemOf(1)}), Now);
