Play a crashing prompt part in the soak; tell requests that break off together from repeated ones

Answers of exact requests were not kept, so three runs that one event broke off counted as three crashes by a repeated request. Change: answers of exact requests are kept as those of parts are; three crashes at once count only if each request was sent after the one before had broken off, or if they are apart in time; a request that was answered before is judged like a part; what exact requests crash is not explained away. The stand-in's replicas crash on a part and come back as other processes, and its transaction removes entries. The soak sends such requests all the time, no two alike, and checks after the faults that at most three more reach replicas.

--- a/include/mallowglade/detail/outcomes/crash_attribution.hpp
+++ b/include/mallowglade/detail/outcomes/crash_attribution.hpp
@@ -78,8 +78,9 @@
   /// @brief Records a run that was answered in full.
   void recordAnswered(const RequestFeatures &Features);
   /// @brief Records a run that broke off with its connection.
-  void recordBrokenOff(const RequestFeatures &Features,
-                       UpstreamProcess Process);
+  /// @param StartedAt time at which the request was sent, if known
+  void recordBrokenOff(const RequestFeatures &Features, UpstreamProcess Process,
+                       TimePoint StartedAt = TimePoint{});
   /// @brief Records that a process has sent a part of a response.
   void recordAlive(UpstreamProcess Process);
   /// @brief Records that a process does not accept connections.
@@ -126,6 +127,9 @@
     TimePoint AnsweredAt{};
     /// Latest time at which a request was sent while the feature was suspected.
     TimePoint TriedAt{};
+    /// Runs that broke off on this router, each sent after the one before had.
+    std::size_t InSequence = 0;
+    TimePoint LastCrashHereAt{};
   };
   struct ProcessState {
     TimePoint BrokenOffAt{};
@@ -173,9 +177,15 @@
   bool isSuspect(const RequestFeature &Feature, const Evidence &Known) const;
   /// @return true if a process has responded after a run on it broke off
   bool hasResponded(UpstreamProcess Process, TimePoint BrokenOffAt) const;
+  /// @return true for an exact request that this router has not seen answered
+  bool isUnansweredRequest(const RequestFeature &Feature) const;
   /// @return true if a run broke off at the given time since its process
   ///   crashed, as far as known
-  bool isCrash(UpstreamProcess Process, TimePoint At, FeatureKind Kind) const;
+  /// @param AtOnce true to decide before `SettleTime` is over
+  bool isCrash(UpstreamProcess Process, TimePoint At, bool AtOnce) const;
+  /// @return number of independent crashes among those at the given times
+  std::size_t countCrashes(const RequestFeature &Feature, const Evidence &Known,
+                           const std::vector<TimePoint> &Times) const;
   /// @return times of the crashes of a feature that no feature in quarantine
   ///   explains, in order
   std::vector<TimePoint> unexplainedCrashes(const RequestFeature &Feature,
--- a/src/dataplane/request_run.cpp
+++ b/src/dataplane/request_run.cpp
@@ -337,7 +337,7 @@
   const UpstreamState *State = Proxy.Upstreams.find(TargetUpstream.Id);
   // An upstream that leaves may end with requests running.
   if (State != nullptr && State->staysInUse())
-    Proxy.Crashes.recordBrokenOff(Features, TargetProcess);
+    Proxy.Crashes.recordBrokenOff(Features, TargetProcess, SentAt);
 }
 
 void RequestRun::releaseLoad() {
--- a/src/outcomes/crash_attribution.cpp
+++ b/src/outcomes/crash_attribution.cpp
@@ -17,7 +17,7 @@
 /// crashes after it.
 constexpr Milliseconds AnsweredRetention{10'000};
 constexpr std::size_t MaxReportedFeatures = 96;
-constexpr std::size_t MaxAnsweredFeatures = 4'096;
+constexpr std::size_t MaxAnsweredFeatures = 8'192;
 constexpr std::size_t MaxProcesses = 1'024;
 constexpr std::size_t MaxOwnCrashes = 512;
 
@@ -63,12 +63,9 @@
   const TimePoint Now = Time.now();
   addRunEnd(Features, false);
   for (const RequestFeature &Feature : Features) {
-    // An exact request is asked for again only if it was not answered.
-    if (Feature.Kind == FeatureKind::PromptPart) {
-      const auto [It, New] = OwnAnswered.insert_or_assign(Feature, Now);
-      if (New)
-        OwnAnsweredOrder.push_back(Feature);
-    }
+    const auto [It, New] = OwnAnswered.insert_or_assign(Feature, Now);
+    if (New)
+      OwnAnsweredOrder.push_back(Feature);
     addAnswered(Feature, Now);
   }
   while (OwnAnsweredOrder.size() > MaxAnsweredFeatures) {
@@ -78,11 +75,16 @@
 }
 
 void CrashAttribution::recordBrokenOff(const RequestFeatures &Features,
-                                       UpstreamProcess Process) {
+                                       UpstreamProcess Process,
+                                       TimePoint StartedAt) {
   const TimePoint Now = Time.now();
   addRunEnd(Features, true);
   for (const RequestFeature &Feature : Features) {
     addCrash(Feature, Process, Now);
+    Evidence &Known = EvidenceByFeature.at(Feature);
+    if (StartedAt >= Known.LastCrashHereAt)
+      ++Known.InSequence;
+    Known.LastCrashHereAt = Now;
     OwnCrashes.push_back({Feature, Process, Now});
   }
   while (OwnCrashes.size() > MaxOwnCrashes)
@@ -135,6 +137,7 @@
   const auto Found = EvidenceByFeature.find(Feature);
   if (Found != EvidenceByFeature.end() && !Found->second.Crashes.empty()) {
     Found->second.AnsweredAt = std::max(Found->second.AnsweredAt, At);
+    Found->second.InSequence = 0;
     std::erase_if(Found->second.Crashes,
                   [At](const auto &Crash) { return Crash.second <= At; });
   }
--- a/src/outcomes/crash_blame.cpp
+++ b/src/outcomes/crash_blame.cpp
@@ -27,12 +27,8 @@
   return std::find(Features.begin(), Features.end(), Feature) != Features.end();
 }
 
-/// Number of crashes that are apart in time; crashes by a request that is
-/// repeated have no other common cause.
-std::size_t countEpisodes(FeatureKind Kind,
-                          const std::vector<TimePoint> &Crashes) {
-  if (Kind == FeatureKind::ExactRequest)
-    return Crashes.size();
+/// Number of crashes that are apart in time.
+std::size_t countEpisodes(const std::vector<TimePoint> &Crashes) {
   std::size_t Count = 0;
   TimePoint Last{};
   for (const TimePoint At : Crashes) {
@@ -45,10 +41,7 @@
 }
 
 /// Number of crashes after which a feature is blamed.
-std::size_t crashesNeeded(FeatureKind Kind, double Background) {
-  // Harmless requests are not repeated so often.
-  if (Kind == FeatureKind::ExactRequest)
-    return CrashAttribution::MinCrashes;
+std::size_t crashesNeeded(double Background) {
   const double PerCrash = std::log(HarmfulCrashRate / Background);
   const double Needed = std::ceil(-std::log(FalseQuarantineRate) / PerCrash);
   return std::max(CrashAttribution::MinCrashes,
@@ -70,21 +63,27 @@
          Found->second.AliveAt >= BrokenOffAt + LifeMargin;
 }
 
+bool CrashAttribution::isUnansweredRequest(
+    const RequestFeature &Feature) const {
+  return Feature.Kind == FeatureKind::ExactRequest &&
+         !OwnAnswered.contains(Feature);
+}
+
 bool CrashAttribution::isCrash(UpstreamProcess Process, TimePoint At,
-                               FeatureKind Kind) const {
+                               bool AtOnce) const {
   const auto Found = Processes.find(Process);
   if (Found == Processes.end() || hasResponded(Process, At))
     return false;
-  return Kind == FeatureKind::ExactRequest || Found->second.Gone ||
-         Time.now() - At >= SettleTime;
+  return AtOnce || Found->second.Gone || Time.now() - At >= SettleTime;
 }
 
 std::vector<TimePoint>
 CrashAttribution::unexplainedCrashes(const RequestFeature &Feature,
                                      const Evidence &Known) const {
+  const bool AtOnce = isUnansweredRequest(Feature);
   std::vector<TimePoint> Times;
   for (const auto &[Process, At] : Known.Crashes)
-    if (!Explained.contains(Process) && isCrash(Process, At, Feature.Kind))
+    if (!Explained.contains(Process) && isCrash(Process, At, AtOnce))
       Times.push_back(At);
   std::sort(Times.begin(), Times.end());
   return Times;
@@ -96,7 +95,7 @@
   for (const auto &[Feature, Known] : EvidenceByFeature)
     for (const auto &[Process, At] : Known.Crashes)
       if (At >= From && !Explained.contains(Process) &&
-          isCrash(Process, At, FeatureKind::PromptPart))
+          isCrash(Process, At, false))
         Crashes.try_emplace(Process, At);
   std::vector<TimePoint> Times;
   for (const auto &[Process, At] : Crashes)
@@ -105,6 +104,18 @@
   return Times;
 }
 
+std::size_t
+CrashAttribution::countCrashes(const RequestFeature &Feature,
+                               const Evidence &Known,
+                               const std::vector<TimePoint> &Times) const {
+  const std::size_t Episodes = countEpisodes(Times);
+  // A request that was sent again after it had crashed an upstream has no other
+  // common cause with that crash, however soon it was.
+  return isUnansweredRequest(Feature)
+             ? std::max(Episodes, std::min(Known.InSequence, Times.size()))
+             : Episodes;
+}
+
 double CrashAttribution::backgroundRate(const RequestFeature &Feature) const {
   double Runs = PriorRuns;
   double BrokenOff = PriorBrokenOff;
@@ -131,7 +142,7 @@
         (Known.Crashes.size() < MinCrashes && !OnProbation))
       continue;
     const std::size_t Crashes =
-        countEpisodes(Feature.Kind, unexplainedCrashes(Feature, Known));
+        countCrashes(Feature, Known, unexplainedCrashes(Feature, Known));
     if (Crashes == 0 || (Crashes < MinCrashes && !OnProbation))
       continue;
     const auto Runs = std::count_if(RunEnds.begin(), RunEnds.end(),
@@ -155,30 +166,31 @@
                                 const Evidence &Known, std::size_t &Crashes,
                                 double &Background) const {
   const std::vector<TimePoint> Times = unexplainedCrashes(Feature, Known);
-  Crashes = countEpisodes(Feature.Kind, Times);
+  Crashes = countCrashes(Feature, Known, Times);
   Background = backgroundRate(Feature);
   if (Crashes == 0)
     return false;
   const auto Current = Quarantines.find(Feature);
   if (Current != Quarantines.end() && Current->second.Status.lapsed())
     return true;
-  if (Crashes >= MinCrashes &&
-      (Feature.Kind == FeatureKind::ExactRequest ||
-       Background < MaxBackgroundRate) &&
-      Crashes >= crashesNeeded(Feature.Kind, Background))
+  // Harmless requests that were never answered are not repeated so often.
+  if (Crashes >= MinCrashes && isUnansweredRequest(Feature))
+    return true;
+  if (Background < MaxBackgroundRate && Crashes >= crashesNeeded(Background))
     return true;
   return Crashes >= MinCommonCrashes &&
          static_cast<double>(Crashes) >=
-             MinCommonFraction *
-                 static_cast<double>(countEpisodes(
-                     Feature.Kind, allUnexplainedCrashes(Times.front())));
+             MinCommonFraction * static_cast<double>(countEpisodes(
+                                     allUnexplainedCrashes(Times.front())));
 }
 
 void CrashAttribution::explainCrashes() {
   Explained.clear();
   for (const auto &[Feature, Current] : Quarantines) {
     const auto Found = EvidenceByFeature.find(Feature);
-    if (!Current.Status.quarantined() || Found == EvidenceByFeature.end())
+    // A request may crash upstreams because of one of its parts.
+    if (Feature.Kind == FeatureKind::ExactRequest ||
+        !Current.Status.quarantined() || Found == EvidenceByFeature.end())
       continue;
     for (const auto &[Process, At] : Found->second.Crashes)
       Explained.insert(Process);
--- a/tests/integration/soak.cpp
+++ b/tests/integration/soak.cpp
@@ -59,6 +59,14 @@
 /// Time after the last fault within which every router serves again:
 /// `recovery_s` of the platform's smaller deployments.
 constexpr milliseconds RecoveryBound{12'000};
+/// A prompt part that crashes replicas, and how often requests with it come.
+/// After the crashes and the time that the platform names, so many may still
+/// reach replicas.
+constexpr const char *CrashingPart = "bad0";
+constexpr milliseconds CrashingPeriod{250};
+constexpr unsigned CrashesToRecognise = 5;
+constexpr milliseconds StableWindow{3'000};
+constexpr unsigned CrashesAfterwards = 3;
 /// Routers and stand-ins use ports of different ranges: a closed connection of
 /// a stand-in keeps routers from listening on its port for a minute.
 constexpr PortRange StandInPorts{24'000, 26'000};
@@ -132,6 +140,11 @@
     httplib::Client("127.0.0.1", proxyPort())
         .Post("/routes/" + Route, Change.dump(), "application/json");
   }
+  unsigned crashes() const {
+    const auto Answer =
+        httplib::Client("127.0.0.1", storePort()).Get("/crashes");
+    return Answer ? static_cast<unsigned>(std::stoul(Answer->body)) : 0;
+  }
   json runs() const {
     const auto Answer = httplib::Client("127.0.0.1", storePort()).Get("/runs");
     return Answer ? json::parse(Answer->body) : json();
@@ -185,6 +198,31 @@
     }
   }
 
+  /// Sends a request that crashes replicas; no two of them are alike.
+  void harmfulRequest(int Router) {
+    const std::string Id = fmt::format("h{}-{}", Number, ++Sent);
+    All.insert(Id);
+    const auto Answer = connection(Router).Post(
+        "/stream/" + Id,
+        {{"Host", "api.example"},
+         {"Mallowglade-Attempt-Id", Id},
+         {"Mallowglade-Deadline-Ms", std::to_string(CallerDeadline.count())},
+         {"Mallowglade-Prefix-Hash",
+          fmt::format("a1:100,{}:50,{:x}:10", CrashingPart, Sent)},
+         {"Authorization", "Bearer key"}},
+        Id, "text/plain");
+    if (!Answer)
+      Clients[Router].reset();
+    else if (Answer->status == 200)
+      Found.add(fmt::format("{}: a broken stream was complete", Id));
+  }
+  void runHarmful(const std::atomic<bool> &Stop) {
+    while (!Stop) {
+      harmfulRequest(static_cast<int>(Random() % Clients.size()));
+      std::this_thread::sleep_for(CrashingPeriod);
+    }
+  }
+
   /// Checks that a key is not accepted any more.
   void tryWithdrawnKey(int Router) {
     const std::string Key = Of.Withdrawn.any(Random());
@@ -213,6 +251,7 @@
         {"Host", "api.example"},
         {"Mallowglade-Attempt-Id", Id},
         {"Mallowglade-Deadline-Ms", std::to_string(CallerDeadline.count())},
+        {"Mallowglade-Prefix-Hash", fmt::format("a1:100,{:x}:10", Sent)},
         {"Authorization", "Bearer key"}};
     const auto Start = std::chrono::steady_clock::now();
     httplib::Result Answer =
@@ -465,6 +504,21 @@
       Found.add(fmt::format("{}: ran and was never sent", Id));
 }
 
+/// Checks that harmful requests do not reach replicas any more, while others
+/// are served.
+void checkQuarantine(Deployment &Fleet, Caller &Harmful, Findings &Found) {
+  std::this_thread::sleep_for(StableWindow);
+  const unsigned Before = Fleet.crashes();
+  if (Before < CrashesToRecognise)
+    return;
+  for (int Router = 0; Router < Fleet.Size.Routers; ++Router)
+    for (unsigned Count = 0; Count < 2 * CrashesAfterwards; ++Count)
+      Harmful.harmfulRequest(Router);
+  const unsigned Later = Fleet.crashes() - Before;
+  if (Later > CrashesAfterwards)
+    Found.add(fmt::format("{} replicas crashed after {} had", Later, Before));
+}
+
 std::size_t runSoak(std::uint64_t Seed, std::chrono::seconds Span,
                     const std::filesystem::path &Directory, const Sizes &Size) {
   Findings Found;
@@ -493,7 +547,13 @@
   // the connections of these when it cuts them.
   constexpr unsigned UnframedEvery = 2;
   constexpr unsigned BreakOffEvery = 5;
-  Fleet.control({{"unframed", UnframedEvery}, {"break_off", BreakOffEvery}});
+  Fleet.control({{"unframed", UnframedEvery},
+                 {"break_off", BreakOffEvery},
+                 {"crashing_part", CrashingPart}});
+  auto Harmful =
+      std::make_unique<Caller>(Fleet, Found, Size.Callers + Size.Routers, Seed);
+  std::atomic<bool> StopHarmful{false};
+  std::thread HarmfulThread([&] { Harmful->runHarmful(StopHarmful); });
   for (int At = 0; At < Size.Replicas; ++At)
     Fleet.fault(Deployment::replicaName(At), {{"reset_unframed", true}});
   const auto End = std::chrono::steady_clock::now() + Span;
@@ -509,7 +569,10 @@
     Each.join();
   Faults(Fleet, Found, Seed, 0).mend();
   Fleet.control({{"break_off", 0}});
+  StopHarmful = true;
+  HarmfulThread.join();
   checkAllServe(Probers, "after the faults", Found);
+  checkQuarantine(Fleet, *Harmful, Found);
   Stop = true;
   for (std::thread &Each : Threads)
     Each.join();
@@ -523,11 +586,12 @@
     Served += Each->Served;
   }
   std::move(Probers.begin(), Probers.end(), std::back_inserter(By));
+  By.push_back(std::move(Harmful));
   checkRuns(Fleet.runs(), By, Found);
   if (Served == 0)
     Found.add("no request was served");
-  fmt::print("seed {}: {} requests, {} served, {} findings\n", Seed, Sent,
-             Served, Found.count());
+  fmt::print("seed {}: {} requests, {} served, {} crashes, {} findings\n", Seed,
+             Sent, Served, Fleet.crashes(), Found.count());
   return Found.count();
 }
 
--- a/tests/standins/standin-model-fleet.cpp
+++ b/tests/standins/standin-model-fleet.cpp
@@ -12,15 +12,20 @@
 //   {"unframed": N}        every Nth stream ends with its connection
 //   {"break_off": N}       every Nth stream ends inside an event, without a
 //                          reset
+//   {"crashing_part": H}   a replica that begins to answer a request with this
+//                          prompt part crashes, and is back after a while as
+//                          another process
 //   {"copy": true}         keeps a copy of the store
 //   {"restore": MS}        the store goes back to the copy and a new era
 //   begins;
 //                          operator and replicas write again after MS
 // The answer names the operator's newest configuration version.
-// GET /runs returns how often each attempt id has run.
+// GET /runs returns how often each attempt id has run, GET /crashes how many
+// requests have crashed a replica.
 
 #include <mallowglade/detail/platform/base64.hpp>
 
+#include <fmt/format.h>
 #include <httplib.h>
 #include <nlohmann/json.hpp>
 
@@ -45,6 +50,8 @@
 
 constexpr int StreamEvents = 10;
 constexpr std::chrono::milliseconds EventPause{30};
+/// Time after which a replica that has crashed is back.
+constexpr std::chrono::milliseconds CrashedFor{1'500};
 
 struct Entry {
   std::string Value;
@@ -76,6 +83,13 @@
     Now.History.push_back(item(Key, Now.Entries[Key]));
   }
 
+  void remove(const std::string &Key) {
+    const std::lock_guard<std::mutex> Lock(Mutex);
+    if (Now.Entries.erase(Key) > 0)
+      Now.History.push_back(
+          {{"key", Key}, {"revision", ++Now.Revision}, {"deleted", true}});
+  }
+
   /// @return the changes since a revision, or null if the store is not there
   /// yet
   json changes(long After) {
@@ -185,7 +199,7 @@
       States[Number] = State;
     }
     Registry.put(
-        "servers/i-" + std::to_string(Number),
+        "servers/" + idOf(Number),
         {{"service", "pool"},
          {"address", "127.0.0.1:" + std::to_string(Ports[Number] + Offset)},
          {"zone", "zone-a"},
@@ -193,13 +207,19 @@
          {"state", State}});
   }
 
-  /// Registers all replicas again, in the state that they are in.
+  /// Registers all replicas again, in the state that they are in. Former
+  /// processes, which a restored store may hold, do not renew theirs.
   void reportAll() {
     std::map<int, std::string> Current;
+    std::map<int, unsigned> Latest;
     {
       const std::lock_guard<std::mutex> Lock(Mutex);
       Current = States;
+      Latest = Generations;
     }
+    for (const auto &[Number, Generation] : Latest)
+      for (unsigned Former = 0; Former < Generation; ++Former)
+        Registry.remove(fmt::format("servers/i-{}-{}", Number, Former));
     for (const auto &[Number, State] : Current)
       report(Number, State);
   }
@@ -208,6 +228,13 @@
   void sendUnframed(unsigned Every) { UnframedEvery = Every; }
   void breakOff(unsigned Every) { BreakOffEvery = Every; }
 
+  /// @param Part prompt part, hexadecimal, that crashes replicas
+  void crashOn(const std::string &Part) {
+    const std::lock_guard<std::mutex> Lock(Mutex);
+    CrashingPart = Part;
+  }
+  unsigned crashes() const { return Crashes; }
+
   json runs() {
     const std::lock_guard<std::mutex> Lock(Mutex);
     return Runs;
@@ -218,23 +245,78 @@
     Ports[Number] = Port;
     auto Server = std::make_shared<httplib::Server>();
     limitConnections(*Server, ReplicaConnections);
-    const auto Handle = [this, Number](const httplib::Request &Request,
-                                       httplib::Response &Response) {
-      serve(Number, Request, Response);
+    const unsigned Generation = Generations[Number];
+    const auto Handle = [this, Number,
+                         Generation](const httplib::Request &Request,
+                                     httplib::Response &Response) {
+      serve(Number, Generation, Request, Response);
     };
     Server->Get(".*", Handle);
     Server->Post(".*", Handle);
+    {
+      const std::lock_guard<std::mutex> Lock(Mutex);
+      Servers[Number] = Server;
+    }
     std::thread([Server, Port] { Server->listen("127.0.0.1", Port); }).detach();
     report(Number, "ready");
   }
 
-  void serve(int Number, const httplib::Request &Request,
+  std::string idOf(int Number) {
+    const std::lock_guard<std::mutex> Lock(Mutex);
+    return fmt::format("i-{}-{}", Number, Generations[Number]);
+  }
+
+  bool crashedSince(int Number, unsigned Generation) {
+    const std::lock_guard<std::mutex> Lock(Mutex);
+    return Generations[Number] != Generation;
+  }
+
+  bool isHarmful(const httplib::Request &Request) {
+    const std::string Parts =
+        Request.get_header_value("Mallowglade-Prefix-Hash");
+    const std::lock_guard<std::mutex> Lock(Mutex);
+    return !CrashingPart.empty() &&
+           Parts.find(CrashingPart + ":") != std::string::npos;
+  }
+
+  /// Ends a replica with all that runs on it, and starts another process.
+  void crash(int Number, unsigned Generation) {
+    const std::string Id = idOf(Number);
+    std::shared_ptr<httplib::Server> Former;
+    {
+      const std::lock_guard<std::mutex> Lock(Mutex);
+      if (Generations[Number] != Generation)
+        return;
+      ++Generations[Number];
+      ++Crashes;
+      Former = Servers[Number];
+    }
+    std::thread([this, Number, Id, Former] {
+      Former->stop();
+      std::this_thread::sleep_for(CrashedFor);
+      Registry.remove("servers/" + Id);
+      start(Number, Ports[Number]);
+    }).detach();
+  }
+
+  /// Sends the head only and closes the connection.
+  static void breakOff(httplib::Response &Response) {
+    Response.set_chunked_content_provider(
+        "text/event-stream",
+        [](std::size_t, httplib::DataSink &) { return false; });
+  }
+
+  void serve(int Number, unsigned Generation, const httplib::Request &Request,
              httplib::Response &Response) {
     const std::string Id = Request.get_header_value("Mallowglade-Attempt-Id");
     Response.set_header("Mallowglade-Attempt-Id", Id);
     const std::string Expected =
         Request.get_header_value("Mallowglade-Expected-Replica");
-    if (Expected != "i-" + std::to_string(Number)) {
+    if (crashedSince(Number, Generation)) {
+      breakOff(Response);
+      return;
+    }
+    if (Expected != idOf(Number)) {
       Response.status = 421;
       return;
     }
@@ -243,8 +325,17 @@
       Runs[Id] = Runs.value(Id, 0) + 1;
     }
     Response.set_header("Mallowglade-Replica-Signature", "signed-" + Id);
+    if (isHarmful(Request)) {
+      crash(Number, Generation);
+      breakOff(Response);
+      return;
+    }
     if (!Request.path.starts_with("/stream/")) {
       std::this_thread::sleep_for(EventPause);
+      if (crashedSince(Number, Generation)) {
+        breakOff(Response);
+        return;
+      }
       Response.set_content("answer-" + Id, "text/plain");
       return;
     }
@@ -260,14 +351,16 @@
             ? First + static_cast<int>(Stream / BreakOffEvery) %
                           (StreamEvents - First + 1)
             : StreamEvents + 1;
-    const auto Send = [First, BrokenEvent](std::size_t,
-                                           httplib::DataSink &Sink) {
+    const auto Send = [this, Number, Generation, First,
+                       BrokenEvent](std::size_t, httplib::DataSink &Sink) {
       for (int Event = First; Event <= StreamEvents; ++Event) {
+        const bool Breaks =
+            Event == BrokenEvent || crashedSince(Number, Generation);
         std::string Text = "id: " + std::to_string(Event) + "\ndata: e" +
                            std::to_string(Event) + "\n\n";
-        if (Event == BrokenEvent)
+        if (Breaks)
           Text.resize(Text.size() / 2);
-        if (!Sink.write(Text.data(), Text.size()) || Event == BrokenEvent)
+        if (!Sink.write(Text.data(), Text.size()) || Breaks)
           return false;
         std::this_thread::sleep_for(EventPause);
       }
@@ -292,6 +385,10 @@
   std::mutex Mutex;
   std::map<int, int> Ports;
   std::map<int, std::string> States;
+  std::map<int, unsigned> Generations;
+  std::map<int, std::shared_ptr<httplib::Server>> Servers;
+  std::string CrashingPart;
+  std::atomic<unsigned> Crashes{0};
   json Runs = json::object();
   std::atomic<unsigned> Streams{0};
   std::atomic<unsigned> UnframedEvery{0};
@@ -352,6 +449,8 @@
           Registry.put(Write.at("key"), json::parse(Text.value_or("null")),
                        Write.value("lease", 0L));
         }
+        for (const std::string Key : Body.at("delete"))
+          Registry.remove(Key);
         Send(Reply, {{"revision", 1}});
       });
 }
@@ -403,6 +502,8 @@
       Pool.sendUnframed(Order["unframed"].get<unsigned>());
     if (Order.contains("break_off"))
       Pool.breakOff(Order["break_off"].get<unsigned>());
+    if (Order.contains("crashing_part"))
+      Pool.crashOn(Order["crashing_part"].get<std::string>());
     if (Order.contains("leaving"))
       Pool.report(Order["leaving"].get<int>(), "draining");
     if (Order.contains("back"))
@@ -411,5 +512,9 @@
   Server.Get("/runs", [&](const httplib::Request &, httplib::Response &Reply) {
     Reply.set_content(Pool.runs().dump(), "application/json");
   });
+  Server.Get(
+      "/crashes", [&](const httplib::Request &, httplib::Response &Reply) {
+        Reply.set_content(std::to_string(Pool.crashes()), "application/json");
+      });
   return Server.listen("127.0.0.1", std::atoi(Arguments[1])) ? 0 : 1;
 }
--- a/tests/unit-crash-attribution.cpp
+++ b/tests/unit-crash-attribution.cpp
@@ -66,6 +66,7 @@
   CPPUNIT_TEST_SUITE(CrashAttributionTest);
   CPPUNIT_TEST(requestThatCrashesUpstreamsIsRefused);
   CPPUNIT_TEST(requestThatIsAlsoAnsweredIsNotRefused);
+  CPPUNIT_TEST(equalRequestsThatBreakOffTogetherAreNotRefused);
   CPPUNIT_TEST(partOfDifferentRequestsIsRefused);
   CPPUNIT_TEST(partsThatAreAnsweredAreNotBlamed);
   CPPUNIT_TEST(partThatWasAnsweredBeforeIsBlamedLast);
@@ -95,11 +96,13 @@
     ManualClock Time;
     CrashAttribution First(Time, 1);
     CrashAttribution Second(Time, 2);
-    First.recordBrokenOff({exactRequest(1)}, process(1));
-    First.recordBrokenOff({exactRequest(1)}, process(2));
+    First.recordBrokenOff({exactRequest(1)}, process(1), Time.now());
+    Time.advance(CrashAttribution::EpisodeGap);
+    First.recordBrokenOff({exactRequest(1)}, process(2), Time.now());
     CPPUNIT_ASSERT(!First.refusedFor({exactRequest(1)}));
     Second.merge(First.report());
-    Second.recordBrokenOff({exactRequest(1)}, process(3));
+    Time.advance(CrashAttribution::EpisodeGap);
+    Second.recordBrokenOff({exactRequest(1)}, process(3), Time.now());
     First.merge(Second.report());
     CPPUNIT_ASSERT(First.refusedFor({exactRequest(1)}) &&
                    Second.refusedFor({exactRequest(1)}));
@@ -113,8 +116,10 @@
     ManualClock Time;
     CrashAttribution First(Time, 1);
     CrashAttribution Second(Time, 2);
-    for (std::uint64_t Index = 0; Index < 5; ++Index)
-      First.recordBrokenOff({exactRequest(1)}, process(Index));
+    for (std::uint64_t Index = 0; Index < 5; ++Index) {
+      First.recordBrokenOff({exactRequest(1)}, process(Index), Time.now());
+      Time.advance(Milliseconds(1));
+    }
     Time.advance(CrashAttribution::SettleTime);
     Second.merge(First.report());
     CPPUNIT_ASSERT(Second.refusedFor({exactRequest(1)}));
@@ -125,6 +130,31 @@
                    !Second.refusedFor({exactRequest(1)}));
   }
 
+  // Guards against refusing a request that many callers send alike, such as a
+  // status query, because several of them broke off together.
+  void equalRequestsThatBreakOffTogetherAreNotRefused() {
+    ManualClock Time;
+    CrashAttribution First(Time, 1);
+    CrashAttribution Second(Time, 2);
+    const TimePoint Sent = Time.now();
+    for (std::uint64_t Index = 0; Index < 6; ++Index) {
+      Time.advance(Milliseconds(1));
+      (Index % 2 == 0 ? First : Second)
+          .recordBrokenOff({exactRequest(1)}, process(Index), Sent);
+    }
+    First.merge(Second.report());
+    First.update();
+    CPPUNIT_ASSERT(!First.refusedFor({exactRequest(1)}));
+    // The same for one that was answered before, and breaks off again.
+    Second.recordAnswered({exactRequest(1)});
+    for (std::uint64_t Index = 10; Index < 13; ++Index) {
+      Time.advance(Milliseconds(50));
+      Second.recordBrokenOff({exactRequest(1)}, process(Index), Time.now());
+      Second.update();
+    }
+    CPPUNIT_ASSERT(!Second.refusedFor({exactRequest(1)}));
+  }
+
   // Guards against recognising harm by the exact request only.
   void partOfDifferentRequestsIsRefused() {
     Pair Fleet;
