--- a/include/mallowglade/detail/scheduling/cell.hpp
+++ b/include/mallowglade/detail/scheduling/cell.hpp
@@ -167,8 +167,7 @@
   void applyPendingCoverage(TimePoint Now);
 
   // Grant accounting (cell_accounts.cpp).
-  void acknowledge(RouterEntry &Router, GrantId Id,
-                   std::uint64_t Sequence);
+  void acknowledge(RouterEntry &Router, GrantId Id, std::uint64_t Sequence);
   void setCharge(IssuedGrant &Granted, double Charged, double Served);
   void settleGrant(GrantId Id, double Served, GrantEnd End, TimePoint Now);
   void reclaim(GrantId Id);
