--- a/src/outcomes/crash_blame.cpp
+++ b/src/outcomes/crash_blame.cpp
@@ -98,6 +98,7 @@
           isCrash(Process, At, false))
         Crashes.try_emplace(Process, At);
   std::vector<TimePoint> Times;
+  Times.reserve(Crashes.size());
   for (const auto &[Process, At] : Crashes)
     Times.push_back(At);
   std::sort(Times.begin(), Times.end());
