Draw the number of simulated arrivals without a floating-point loop

Change: the number of arrivals is drawn at once; a string is moved. The simulation draws other random numbers now.

--- a/tests/support/crash_simulation.cpp
+++ b/tests/support/crash_simulation.cpp
@@ -94,14 +94,20 @@
            Probability * static_cast<double>(Resolution);
   }
 
+  /// @return a number of arrivals with the given mean
+  std::size_t drawCount(double Mean) {
+    const auto Whole = static_cast<std::size_t>(Mean);
+    return Whole + (chance(Mean - static_cast<double>(Whole)) ? 1 : 0);
+  }
+
   void arrivals() {
     const double Seconds = std::chrono::duration<double>(Step).count();
-    for (double Rate = Scenario.SoundRate * Seconds; Rate > 0; Rate -= 1)
-      if (chance(std::min(1.0, Rate)))
-        send(0);
-    for (double Rate = Scenario.HarmfulRate * Seconds; Rate > 0; Rate -= 1)
-      if (chance(std::min(1.0, Rate)))
-        send(FirstHarmful + Random.below(Scenario.HarmfulParts));
+    for (std::size_t Left = drawCount(Scenario.SoundRate * Seconds); Left > 0;
+         --Left)
+      send(0);
+    for (std::size_t Left = drawCount(Scenario.HarmfulRate * Seconds); Left > 0;
+         --Left)
+      send(FirstHarmful + Random.below(Scenario.HarmfulParts));
     if (chance(Scenario.BackgroundCrashRate * Seconds))
       crash(Random.below(Scenario.Upstreams));
   }
--- a/tests/unit-dataplane-crashing-parts.cpp
+++ b/tests/unit-dataplane-crashing-parts.cpp
@@ -61,7 +61,7 @@
              contains(H.received(Caller), "Content-Length: 0") ||
              contains(H.received(Caller), "\r\n0\r\n\r\n");
     });
-    const std::string Received = H.received(Caller);
+    std::string Received = H.received(Caller);
     H.closeCaller(Caller);
     return Received;
   }
