Bound the time between requests with a suspected feature on one router

Cause: found by reading: the interval grew with the fleet, to 150 s on 300 routers. Callers that use one router would wait that long with sound requests. Change: at most 3 s. Result: suspectedFeatureOfOneRouterIsTriedInTime fails without the bound and passes.

--- a/include/mallowglade/detail/outcomes/crash_attribution.hpp
+++ b/include/mallowglade/detail/outcomes/crash_attribution.hpp
@@ -66,6 +66,9 @@
   /// through: each of them may end an upstream, and shows whether the suspicion
   /// is right.
   static constexpr Milliseconds TrialInterval{500};
+  /// Longest time between such requests on one router. All requests with a
+  /// harmless feature may come to the same router.
+  static constexpr Milliseconds MaxTrialInterval{3'000};
   /// Times after the start of a quarantine at which a probe is let through.
   static constexpr std::array<std::chrono::seconds, 2> ProbeTimes{
       std::chrono::seconds(60), std::chrono::seconds(600)};
--- a/src/outcomes/crash_attribution.cpp
+++ b/src/outcomes/crash_attribution.cpp
@@ -185,7 +185,8 @@
 
 bool CrashAttribution::mustWait(const RequestFeatures &Features) {
   const TimePoint Now = Time.now();
-  const Milliseconds Interval = TrialInterval * Routers;
+  const Milliseconds Interval =
+      std::min<Milliseconds>(TrialInterval * Routers, MaxTrialInterval);
   std::vector<Evidence *> Suspected;
   for (const RequestFeature &Feature : Features) {
     const auto Found = EvidenceByFeature.find(Feature);
--- a/tests/unit-crash-attribution.cpp
+++ b/tests/unit-crash-attribution.cpp
@@ -72,6 +72,7 @@
   CPPUNIT_TEST(partThatWasAnsweredBeforeIsBlamedLast);
   CPPUNIT_TEST(processThatRespondsLaterHasNotCrashed);
   CPPUNIT_TEST(simultaneousCrashesHaveOneCause);
+  CPPUNIT_TEST(suspectedFeatureOfOneRouterIsTriedInTime);
   CPPUNIT_TEST(repeatedReportsCountOnce);
   CPPUNIT_TEST(restartedRouterLearnsQuarantines);
   CPPUNIT_TEST(quarantineLastsAsLongAsRequestsCome);
@@ -222,6 +223,22 @@
     CPPUNIT_ASSERT(!Router.mustWait({Shared}));
   }
 
+  // Guards against holding back sound requests for minutes in a large fleet, if
+  // all of them come to one router.
+  void suspectedFeatureOfOneRouterIsTriedInTime() {
+    ManualClock Time;
+    CrashAttribution Router(Time, 1);
+    constexpr std::size_t Routers = 300;
+    Router.setFleet(false, Routers);
+    for (std::uint64_t Index = 0; Index < 5; ++Index)
+      Router.recordBrokenOff({Shared, exactRequest(Index)}, process(Index));
+    Time.advance(CrashAttribution::SettleTime);
+    Router.mustWait({Shared});
+    Time.advance(CrashAttribution::MaxTrialInterval);
+    CPPUNIT_ASSERT(!Router.mustWait({Shared}));
+    CPPUNIT_ASSERT(Router.mustWait({Shared}));
+  }
+
   // Guards against counting one crash for each router that reports it.
   void repeatedReportsCountOnce() {
     ManualClock Time;
