Test that silence is no crash, and that large zones are waited for

Cause: no test told a connection that went silent from one that was closed, and slowRegisteredRouterIsWaitedFor passed on as well: it did not show its fault. Change: silentUpstreamHasNotClosedItsConnection; the other test registers 120 routers, so that reports are 600 ms apart. Result: both fail with the decisions that they guard taken out, and pass.

--- a/tests/unit-dataplane-control.cpp
+++ b/tests/unit-dataplane-control.cpp
@@ -440,8 +440,14 @@
                             loopbackAddress(200, 7'001),
                             loopbackAddress(200, 7'004)};
     Copy.Routers = {Slow};
+    // In a large zone, reports are far apart.
+    constexpr std::uint64_t OthersInZone = 119;
+    for (std::uint64_t Other = 0; Other < OthersInZone; ++Other)
+      Copy.Routers.push_back({RouterId(loopbackAddress(Other, 7'104)),
+                              ZoneId("a"), loopbackAddress(Other, 7'101),
+                              loopbackAddress(Other, 7'104)});
     CPPUNIT_ASSERT(!Started.State.start());
-    TestFleet.Context.run_for(Milliseconds(1'000));
+    TestFleet.Context.run_for(Milliseconds(1'900));
     PeerReport Report;
     Report.Sender = Slow.Id;
     Report.Incarnation = Report.Sequence = 1;
--- a/tests/unit-http1-upstream.cpp
+++ b/tests/unit-http1-upstream.cpp
@@ -19,7 +19,7 @@
   void onResponseEnd() override {}
   void onExchangeFailed(ExchangeFailure Reason) override { Failure = Reason; }
 
-  bool Sends;
+  bool Sends = true;
   std::optional<ExchangeFailure> Failure;
 };
 
@@ -28,6 +28,7 @@
 class Http1UpstreamTest : public CppUnit::TestFixture {
   CPPUNIT_TEST_SUITE(Http1UpstreamTest);
   CPPUNIT_TEST(withdrawnRequestIsNotSent);
+  CPPUNIT_TEST(silentUpstreamHasNotClosedItsConnection);
   CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -56,6 +57,35 @@
       Connection->cancel();
     }
   }
+
+  // Guards against taking an upstream that went silent, as when its rack goes
+  // dark, for one that crashed.
+  void silentUpstreamHasNotClosedItsConnection() {
+    for (const bool Closes : {false, true}) {
+      asio::io_context Context;
+      asio::ip::tcp::acceptor Acceptor(
+          Context,
+          asio::ip::tcp::endpoint(asio::ip::make_address("127.0.0.1"), 0));
+      const auto Target = std::make_shared<Observer>(true);
+      const auto Connection = std::make_shared<UpstreamConnection>(
+          Context, Acceptor.local_endpoint(), "X-Id", Timeouts);
+      // More than the buffers of both sides hold: the rest is not acknowledged.
+      constexpr std::size_t RequestBytes = std::size_t(64) << 20U;
+      Connection->send("POST / HTTP/1.1\r\nContent-Length: 67108864\r\n\r\n" +
+                           std::string(RequestBytes, 'x'),
+                       "r1", false, Target);
+      Context.run_for(std::chrono::milliseconds(50));
+      asio::ip::tcp::socket Accepted = Acceptor.accept();
+      if (Closes)
+        Accepted.close();
+      Context.restart();
+      Context.run_for(std::chrono::seconds(5));
+      CPPUNIT_ASSERT(Target->Failure.has_value());
+      CPPUNIT_ASSERT(*Target->Failure == (Closes
+                                              ? ExchangeFailure::Interrupted
+                                              : ExchangeFailure::Unresponsive));
+    }
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(Http1UpstreamTest);
