Divide the limits that upstreams name among all routers

What callers saw: upstreams in need, which had named how many requests a second they take from all routers together, got as many as before. Cause: no router read Server-Limit; and what upstreams say of themselves is kept by each router alone, which would have made eight routers send eight times a limit. Change: UpstreamLimits keeps the latest statement of each process, and RateAllowance what this router may start. Some routers, chosen by rendezvous hashing weighted with their demand, hold a limit and share it in proportion, so that all of them agree without messages about requests. A router that has just started learns the limits from the reports; one that hears at most half of the fleet keeps its part. The end of a limit is told like a limit. Requests that the limits leave no room for are refused at once with the time from which there is some; shares follow what the limits leave of the pool. Conclusion: the division needs no owner and no coordination.

--- a/include/mallowglade/dataplane.hpp
+++ b/include/mallowglade/dataplane.hpp
@@ -25,6 +25,7 @@
 #include <mallowglade/detail/dataplane/store_position.hpp>
 #include <mallowglade/detail/dataplane/store_read_policy.hpp>
 #include <mallowglade/detail/dataplane/traffic.hpp>
+#include <mallowglade/detail/dataplane/upstream_limits.hpp>
 #include <mallowglade/detail/dataplane/upstream_notices.hpp>
 #include <mallowglade/detail/dataplane/upstream_table.hpp>
 #include <mallowglade/detail/dataplane/wire_protocol.hpp>
--- a/include/mallowglade/detail/dataplane/admission.hpp
+++ b/include/mallowglade/detail/dataplane/admission.hpp
@@ -20,6 +20,9 @@
   NoUpstream,
   /// All upstreams of the service have asked for a pause.
   UpstreamsPaused,
+  /// The limits that the service's upstreams named leave no request of this
+  /// router before the queue deadline.
+  UpstreamsLimited,
   /// The queue is full.
   QueueFull,
   /// The metadata store was not read recently enough to rule out that the
@@ -88,8 +91,16 @@
 private:
   bool tryPlace(QueuedRequest &Request);
   /// @brief Refuses a request that no upstream can take before its deadline.
+  /// @param Ahead queued requests for its service that are sent before it
   /// @return false if one may take it
-  bool refuseUnservable(QueuedRequest &Request);
+  bool refuseUnservable(QueuedRequest &Request, std::size_t Ahead);
+  /// @return queued requests for the same service that are sent before this one
+  std::size_t countAhead(const QueuedRequest &Request);
+  /// @return time to tell a caller whose request has to wait so long for a
+  /// share
+  ///   of limited upstreams
+  Milliseconds limitRetryAfter(const QueuedRequest &Request,
+                               std::chrono::duration<double> Wait);
   /// @return fraction of its share that the request's workspace has used; 0 if
   ///   the request does not count against a share
   double shareFill(const QueuedRequest &Request);
--- a/include/mallowglade/detail/dataplane/fleet_state.hpp
+++ b/include/mallowglade/detail/dataplane/fleet_state.hpp
@@ -14,6 +14,12 @@
 
 namespace mallowglade::dataplane {
 
+/// @brief Identifies a service in messages between routers.
+using ServiceKey = StrongNumber<struct ServiceKeyTag, std::uint64_t>;
+
+/// @return key of a service, equal on all routers
+ServiceKey serviceKey(const ServiceId &Name);
+
 /// @brief Registration of an upstream.
 struct UpstreamRecord {
   UpstreamId Id;
--- a/include/mallowglade/detail/dataplane/peer_directory.hpp
+++ b/include/mallowglade/detail/dataplane/peer_directory.hpp
@@ -97,6 +97,7 @@
     /// Readiness according to the latest digest of its zone, if it is in
     /// another one.
     bool ReadyInDigest = false;
+    DemandTable Demand;
     bool Registered = false;
   };
   struct Digest {
@@ -115,6 +116,8 @@
   ///   satisfies a predicate
   template <class Predicate>
   std::size_t countReadyZonePeers(Predicate Matches) const;
+  /// @return the other routers among which limits of upstreams are divided
+  std::vector<FleetMember> limitMembers() const;
   AcceptResult acceptRouterReport(PeerReport Report);
   AcceptResult acceptDigest(PeerReport Report);
 
--- a/include/mallowglade/detail/dataplane/peer_message.hpp
+++ b/include/mallowglade/detail/dataplane/peer_message.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <mallowglade/detail/dataplane/fair_share.hpp>
+#include <mallowglade/detail/dataplane/upstream_limits.hpp>
 #include <mallowglade/detail/dataplane/upstream_table.hpp>
 #include <mallowglade/outcomes.hpp>
 
@@ -30,6 +31,7 @@
   RouterId Id;
   std::string CallerAddress;
   bool Ready = false;
+  DemandTable Demand = {};
 };
 
 /// @brief Periodic report of a router, or digest of a zone.
@@ -65,9 +67,15 @@
   LoadTable Loads;
   UsageTable Usage;
   CrashReport Crashes;
+  /// Limits that upstreams named; in a digest, the latest statements to routers
+  /// of the zone.
+  LimitTable Limits;
+  /// Demand of the sender; empty while no upstream names a limit.
+  DemandTable Demand;
 };
 
-/// @brief Encodes a report as MessagePack.
+/// @brief Encodes a report as MessagePack: an array of fixed layout and, if any
+///   is there, a map of named parts, which routers that do not know them skip.
 std::string encodeReport(const PeerReport &Report);
 
 /// @brief Decodes a report.
--- a/include/mallowglade/detail/dataplane/placement.hpp
+++ b/include/mallowglade/detail/dataplane/placement.hpp
@@ -96,9 +96,27 @@
   WorkLimitController &workLimitController() { return WorkLimits; }
   /// @return limit for the `RecentWork` of one engine, in prompt tokens
   double workLimit() const { return BaseWorkLimit * WorkLimits.factor(); }
-  /// @return time from which a request may be sent to an upstream of the
-  ///   service, or nothing if it has no upstream that stays in use
-  std::optional<TimePoint> availableFrom(const ServiceId &Name) const;
+  /// @brief When upstreams of a service take a request at all, whatever their
+  ///   load.
+  struct Availability {
+    /// Time from which one takes a request; nothing if none stays in use.
+    std::optional<TimePoint> From;
+    /// Requests per second that this router may start once they are available;
+    /// nothing if one takes any number.
+    std::optional<RequestRate> Rate;
+  };
+  Availability availability(const ServiceId &Name) const;
+  /// @brief Counts a request for a service that may be sent; limits of
+  /// upstreams
+  ///   are divided among the routers by it.
+  void recordDemand(const ServiceId &Name) {
+    Table.limits().recordDemand(serviceKey(Name));
+  }
+  /// @brief Records the tokens of a request that is sent.
+  void recordSize(double Tokens);
+  /// @return fraction of the stated capacity of all engines that their limits
+  ///   leave
+  double capacityFraction() const;
 
 private:
   bool isEligible(const UpstreamState &Upstream, const PlacementQuery &Query,
@@ -120,9 +138,13 @@
   const Configuration *Config = nullptr;
   /// Prefill rate of one engine.
   double PromptTokensPerMs = 0;
+  /// Share of one engine in the stated capacity; 0 if none is stated.
+  double EngineTokensPerSecond = 0;
   /// Limit before scaling by `WorkLimits`, in prompt tokens.
   double BaseWorkLimit = 0;
   WorkLimitController WorkLimits;
+  /// Mean tokens of a request, 0 before the first one.
+  double MeanTokens = 0;
 };
 
 } // namespace mallowglade::dataplane
--- a/include/mallowglade/detail/dataplane/traffic.hpp
+++ b/include/mallowglade/detail/dataplane/traffic.hpp
@@ -34,6 +34,10 @@
   LoadTable Loads;
   UsageTable Usage;
   CrashReport Crashes;
+  /// Latest statements of upstreams on their limits.
+  LimitTable Limits;
+  /// The other routers among which limits are divided.
+  std::vector<FleetMember> Members;
   /// True if this router is the first one of those that are live.
   bool FirstOfFleet = false;
   /// Sum of the other routers' work limit factors, and number of these routers.
@@ -46,6 +50,8 @@
   LoadTable Loads;
   UsageTable Usage;
   CrashReport Crashes;
+  LimitTable Limits;
+  DemandTable Demand;
   std::size_t BusyConnections = 0;
   /// True while callers should be sent to other routers.
   bool Overloaded = false;
@@ -68,6 +74,10 @@
   /// asked for a pause which has not ended.
   std::uint64_t UpstreamsLeaving = 0;
   std::uint64_t UpstreamsPaused = 0;
+  /// Upstreams in the list that have named a limit, and requests refused
+  /// because of limits; the latter are part of `Refused`.
+  std::uint64_t UpstreamsLimited = 0;
+  std::uint64_t RefusedForLimits = 0;
   /// Features of requests that are in quarantine, and requests refused for
   /// them; the latter are part of `Refused`.
   std::uint64_t QuarantinedFeatures = 0;
@@ -136,8 +146,12 @@
   ///   one; false if shares do not apply
   bool isLeastServed(const Route &MatchedRoute, const WorkspaceId &Workspace);
   /// @brief Follows what an upstream says of itself in a response.
-  void observe(const UpstreamRecord &Upstream,
-               const ResponseMetadata &Response);
+  /// @param SentAt time at which the request was sent
+  void observe(const UpstreamRecord &Upstream, const ResponseMetadata &Response,
+               TimePoint SentAt);
+  /// @brief Follows what an upstream says of its limit.
+  void observeLimit(const UpstreamRecord &Upstream,
+                    const ResponseMetadata &Response, TimePoint SentAt);
   const ServiceId &pickService(const Route &MatchedRoute);
   bool credentialsFresh() const;
   void scheduleDispatch();
--- a/include/mallowglade/detail/dataplane/upstream_table.hpp
+++ b/include/mallowglade/detail/dataplane/upstream_table.hpp
@@ -1,6 +1,8 @@
 #pragma once
 
 #include <mallowglade/detail/dataplane/fleet_state.hpp>
+#include <mallowglade/detail/dataplane/request_features.hpp>
+#include <mallowglade/detail/dataplane/upstream_limits.hpp>
 #include <mallowglade/detail/dataplane/upstream_notices.hpp>
 
 #include <cstdint>
@@ -40,6 +42,7 @@
 struct UpstreamState {
   UpstreamRecord Record;
   UpstreamKey Key;
+  UpstreamProcess Process;
   /// Load from requests of this router.
   UpstreamLoad Own;
   /// Load from requests of the other routers, as of their last reports.
@@ -66,7 +69,11 @@
 /// @brief The upstreams and their loads; used by the traffic thread only.
 class UpstreamTable {
 public:
-  explicit UpstreamTable(const Clock &Time) : Time(Time), Notices(Time) {}
+  /// @param Self this router, for the division of limits
+  /// @param Seed differs between routers and starts of a router
+  explicit UpstreamTable(const Clock &Time, RouterKey Self = RouterKey(),
+                         std::uint64_t Seed = 0)
+      : Time(Time), Notices(Time), Limits(Time, Self, Seed) {}
 
   /// @brief Replaces the list of upstreams; the load of those that stay at the
   ///   same address and have not restarted is kept.
@@ -107,6 +114,9 @@
   bool takesRequests(const UpstreamRecord &Upstream) const;
   /// @return numbers of listed upstreams that are leaving and that are paused
   std::pair<std::size_t, std::size_t> countNoticed() const;
+  /// @return limits that upstreams named for all routers together
+  UpstreamLimits &limits() { return Limits; }
+  const UpstreamLimits &limits() const { return Limits; }
   /// @return loads from requests of this router, to report to the others
   LoadTable ownLoads();
 
@@ -115,6 +125,7 @@
 
   const Clock &Time;
   UpstreamNotices Notices;
+  UpstreamLimits Limits;
   std::map<UpstreamId, UpstreamState> Upstreams;
   std::unordered_map<ServiceId, std::vector<UpstreamState *>> ByService;
   LoadTable PeerLoads;
--- a/include/mallowglade/detail/dataplane/wire_protocol.hpp
+++ b/include/mallowglade/detail/dataplane/wire_protocol.hpp
@@ -47,6 +47,10 @@
   bool Leaving = false;
   /// Time for which an upstream that refused the request wants no others.
   std::optional<Milliseconds> Pause;
+  /// Requests per second that the upstream takes from all routers together.
+  std::optional<double> RequestsPerSecond;
+  /// The limit cannot be read; it neither sets nor ends one.
+  bool LimitUnreadable = false;
   /// Requests that the upstream is executing and has queued.
   std::optional<unsigned> Running;
   std::optional<unsigned> Waiting;
--- a/include/mallowglade/scheduling.hpp
+++ b/include/mallowglade/scheduling.hpp
@@ -5,4 +5,5 @@
 
 #include <mallowglade/detail/scheduling/cell.hpp>
 #include <mallowglade/detail/scheduling/demand_queue.hpp>
+#include <mallowglade/detail/scheduling/rate_share.hpp>
 #include <mallowglade/detail/scheduling/wire.hpp>
--- a/src/dataplane/admission.cpp
+++ b/src/dataplane/admission.cpp
@@ -1,6 +1,7 @@
 #include <mallowglade/detail/dataplane/admission.hpp>
 
 #include <algorithm>
+#include <map>
 #include <vector>
 
 namespace mallowglade::dataplane {
@@ -18,6 +19,9 @@
 constexpr double MinRetryAfterFraction = 0.2;
 constexpr double RetryJitterFraction = 0.3;
 constexpr Milliseconds RetryAfterWhileStopping{50};
+/// Longest wait for a share of limited upstreams that is told to a caller; the
+/// routers divide limits anew meanwhile.
+constexpr Milliseconds MaxLimitWait{2'000};
 
 } // namespace
 
@@ -31,6 +35,8 @@
     return "no_upstream";
   case Refusal::UpstreamsPaused:
     return "upstreams_paused";
+  case Refusal::UpstreamsLimited:
+    return "upstreams_limited";
   case Refusal::QueueFull:
     return "queue_full";
   case Refusal::CredentialsNotFresh:
@@ -64,16 +70,20 @@
     Request->refuse(Refusal::Stopping, RetryAfterWhileStopping);
     return;
   }
-  if (refuseUnservable(*Request))
-    return;
   const bool OverShare = Request->HasWorkspace && !Request->PreviouslySent &&
                          !Shares.withinShare(Request->ShareKey);
+  if (!OverShare)
+    Placer.recordDemand(Request->Query.Service);
+  if (refuseUnservable(*Request, countAhead(*Request)))
+    return;
   if (OverShare) {
     const PlacementChoice Choice = Placer.choose(Request->Query);
     if (Choice.Upstream != nullptr &&
         Placer.hasSpareCapacity(*Choice.Upstream) &&
         (Placer.isIdle(*Choice.Upstream) ||
          Shares.mayExceedShare(Request->ShareKey))) {
+      Placer.recordDemand(Request->Query.Service);
+      Placer.recordSize(Request->ShareTokens);
       Shares.recordAdmitted(Request->ShareKey, Request->ShareTokens);
       Request->place(Choice);
       return;
@@ -91,19 +101,56 @@
   dispatch();
 }
 
-bool Admission::refuseUnservable(QueuedRequest &Request) {
-  const auto From = Placer.availableFrom(Request.Query.Service);
-  if (!From) {
+Milliseconds Admission::limitRetryAfter(const QueuedRequest &Request,
+                                        std::chrono::duration<double> Wait) {
+  const auto Longest = std::chrono::duration<double>(MaxLimitWait);
+  return std::max(std::chrono::ceil<Milliseconds>(std::min(Wait, Longest)),
+                  retryAfter(Request));
+}
+
+bool Admission::refuseUnservable(QueuedRequest &Request, std::size_t Ahead) {
+  const auto Available = Placer.availability(Request.Query.Service);
+  if (!Available.From) {
     Request.refuse(Refusal::NoUpstream, retryAfter(Request));
     return true;
   }
-  if (*From <= Request.QueueDeadline)
+  const TimePoint Now = Time.now();
+  // None is limited by a rate: they take requests, or all of them pause.
+  if (!Available.Rate || Available.Rate->Value <= 0) {
+    if (*Available.From <= Request.QueueDeadline)
+      return false;
+    if (*Available.From != TimePoint::max()) {
+      const auto Pause = std::chrono::ceil<Milliseconds>(*Available.From - Now);
+      Request.refuse(Refusal::UpstreamsPaused, Pause + retryAfter(Request));
+      return true;
+    }
+    Request.refuse(Refusal::UpstreamsLimited,
+                   limitRetryAfter(Request, MaxLimitWait));
+    return true;
+  }
+  const std::chrono::duration<double> Wait =
+      std::max<std::chrono::duration<double>>(
+          *Available.From - Now, std::chrono::duration<double>::zero()) +
+      std::chrono::duration<double>(static_cast<double>(Ahead) /
+                                    Available.Rate->Value);
+  if (Wait <= Request.QueueDeadline - Now)
     return false;
-  const auto Pause = std::chrono::ceil<Milliseconds>(*From - Time.now());
-  Request.refuse(Refusal::UpstreamsPaused, Pause + retryAfter(Request));
+  Request.refuse(Refusal::UpstreamsLimited, limitRetryAfter(Request, Wait));
   return true;
 }
 
+std::size_t Admission::countAhead(const QueuedRequest &Request) {
+  const double Fill = shareFill(Request);
+  return static_cast<std::size_t>(
+      std::count_if(Queue.begin(), Queue.end(), [&](const auto &Queued) {
+        if (Queued.get() == &Request ||
+            Queued->Query.Service != Request.Query.Service)
+          return false;
+        const double Other = shareFill(*Queued);
+        return Other < Fill || (Other == Fill && precedes(*Queued, Request));
+      }));
+}
+
 double Admission::shareFill(const QueuedRequest &Request) {
   return Request.HasWorkspace && !Request.PreviouslySent
              ? Shares.shareFill(Request.ShareKey)
@@ -140,8 +187,10 @@
       !Placer.hasSpareCapacity(*Choice.Upstream);
   if (ReservedForLeastServed && !Shares.mayExceedShare(Request.ShareKey))
     return false;
-  if (Request.HasWorkspace && !Request.PreviouslySent)
+  if (Request.HasWorkspace && !Request.PreviouslySent) {
+    Placer.recordSize(Request.ShareTokens);
     Shares.recordAdmitted(Request.ShareKey, Request.ShareTokens);
+  }
   Request.place(Choice);
   return true;
 }
@@ -174,6 +223,7 @@
                      return precedes(*Left.Request, *Right.Request);
                    });
   unsigned Failures = 0;
+  std::map<ServiceId, std::size_t> Waiting;
   for (const Candidate &Ranked : Candidates) {
     if (Failures >= MaxConsecutiveFailures)
       break;
@@ -181,11 +231,13 @@
     if (It == Queue.end())
       continue;
     const auto Position = Queue.erase(It);
-    if (refuseUnservable(*Ranked.Request) || tryPlace(*Ranked.Request)) {
+    std::size_t &Ahead = Waiting[Ranked.Request->Query.Service];
+    if (refuseUnservable(*Ranked.Request, Ahead) || tryPlace(*Ranked.Request)) {
       Failures = 0;
       continue;
     }
     ++Failures;
+    ++Ahead;
     Queue.insert(Position, Ranked.Request);
   }
   Dispatching = false;
--- a/src/dataplane/control.cpp
+++ b/src/dataplane/control.cpp
@@ -341,6 +341,8 @@
   Report.Loads = OwnReport.Loads;
   Report.Usage = OwnReport.Usage;
   Report.Crashes = OwnReport.Crashes;
+  Report.Limits = OwnReport.Limits;
+  Report.Demand = OwnReport.Demand;
   const TimePoint Now = Time.now();
   Report.Departed = Restorations.departed(Now);
   SentAt.emplace(Sequence, Now);
--- a/src/dataplane/control_endpoints.cpp
+++ b/src/dataplane/control_endpoints.cpp
@@ -70,6 +70,10 @@
             static_cast<double>(OwnCounters.UpstreamsLeaving));
   SetMetric("mallowglade_upstreams_paused",
             static_cast<double>(OwnCounters.UpstreamsPaused));
+  SetMetric("mallowglade_upstreams_limited",
+            static_cast<double>(OwnCounters.UpstreamsLimited));
+  SetMetric("mallowglade_refused_for_limits",
+            static_cast<double>(OwnCounters.RefusedForLimits));
   SetMetric("mallowglade_quarantined_features",
             static_cast<double>(OwnCounters.QuarantinedFeatures));
   SetMetric("mallowglade_refused_for_quarantine",
--- a/src/dataplane/peer_directory.cpp
+++ b/src/dataplane/peer_directory.cpp
@@ -104,6 +104,7 @@
   Router.Record.Zone = Report.Zone;
   Router.Record.PeerAddress = Report.Sender.Value;
   Router.Record.CallerAddress = Report.CallerAddress;
+  Router.Demand = Report.Demand;
   Router.LastReport = std::move(Report);
   Router.ReceivedAt = Time.now();
   return {true, Changed};
@@ -130,6 +131,7 @@
     Router.Record.PeerAddress = Member.Id.Value;
     Router.Record.CallerAddress = Member.CallerAddress;
     Router.ReadyInDigest = Member.Ready;
+    Router.Demand = Member.Demand;
     Router.ReceivedAt = Now;
   }
   Stored.LastReport = std::move(Report);
@@ -181,17 +183,19 @@
 }
 
 PeerReport PeerDirectory::makeDigest(PeerReport Own) const {
-  Own.Members.push_back({Self.Id, Self.CallerAddress, Own.Ready});
+  Own.Members.push_back({Self.Id, Self.CallerAddress, Own.Ready, Own.Demand});
   for (const auto &[Id, Router] : Peers) {
     if (!inSameZone(Router) || !isLive(Router))
       continue;
-    Own.Members.push_back(
-        {Id, Router.Record.CallerAddress, Router.LastReport.Ready});
+    Own.Members.push_back({Id, Router.Record.CallerAddress,
+                           Router.LastReport.Ready, Router.Demand});
     Own.WorkLimitFactorSum += Router.LastReport.WorkLimitFactorSum;
     addLoads(Own.Loads, Router.LastReport.Loads);
     addUsage(Own.Usage, Router.LastReport.Usage);
     Own.Crashes.add(Router.LastReport.Crashes,
                     sinceReceived(Router.ReceivedAt));
+    mergeLatest(Own.Limits, Router.LastReport.Limits,
+                sinceReceived(Router.ReceivedAt));
   }
   Own.Crashes.limit(MaxDigestFeatures);
   // The sequence numbers date a proof only for routers of this zone, whose
@@ -271,9 +275,28 @@
   });
 }
 
+std::vector<FleetMember> PeerDirectory::limitMembers() const {
+  const TimePoint Now = Time.now();
+  std::vector<FleetMember> Live;
+  std::vector<FleetMember> Known;
+  for (const auto &[Id, Router] : Peers) {
+    const FleetMember Member{RouterKey(stableHash(Id.Value)), Router.Demand};
+    const bool Heard = Router.ReceivedAt != TimePoint{};
+    if (isLive(Router))
+      Live.push_back(Member);
+    if (Router.Registered ||
+        (Heard && Now - Router.ReceivedAt < UnregisteredRetention))
+      Known.push_back(Member);
+  }
+  // A router that hears at most half of the fleet may be cut off from the rest,
+  // which goes on; it keeps the part that it had.
+  return 2 * (Live.size() + 1) > Known.size() + 1 ? Live : Known;
+}
+
 PeerSums PeerDirectory::sums() const {
   PeerSums Sum;
   Sum.FirstOfFleet = isFirstOfFleet();
+  Sum.Members = limitMembers();
   for (const auto &[Id, Router] : Peers) {
     if (!inSameZone(Router) || !isLive(Router))
       continue;
@@ -283,6 +306,8 @@
     addUsage(Sum.Usage, Router.LastReport.Usage);
     Sum.Crashes.add(Router.LastReport.Crashes,
                     sinceReceived(Router.ReceivedAt));
+    mergeLatest(Sum.Limits, Router.LastReport.Limits,
+                sinceReceived(Router.ReceivedAt));
   }
   for (const auto &[Zone, ZoneDigest] : Digests) {
     if (Time.now() - ZoneDigest.ReceivedAt >= DigestLifetime)
@@ -293,6 +318,8 @@
     addUsage(Sum.Usage, ZoneDigest.LastReport.Usage);
     Sum.Crashes.add(ZoneDigest.LastReport.Crashes,
                     sinceReceived(ZoneDigest.ReceivedAt));
+    mergeLatest(Sum.Limits, ZoneDigest.LastReport.Limits,
+                sinceReceived(ZoneDigest.ReceivedAt));
   }
   return Sum;
 }
--- a/src/dataplane/peer_message.cpp
+++ b/src/dataplane/peer_message.cpp
@@ -4,7 +4,9 @@
 
 #include <msgpack.hpp>
 
+#include <algorithm>
 #include <cmath>
+#include <map>
 #include <tuple>
 #include <vector>
 
@@ -12,8 +14,8 @@
 
 namespace {
 
-/// Incremented when the layout changes. Reports in another format are rejected,
-/// so routers of different versions can run side by side.
+/// Incremented when the fixed layout changes. Reports in another format are
+/// rejected. New facts are named parts, which leave the format as it is.
 constexpr unsigned FormatVersion = 8;
 
 using LoadRow = std::tuple<std::uint64_t, std::uint32_t, std::uint32_t,
@@ -30,12 +32,87 @@
                double, bool, std::string, std::uint64_t,
                std::vector<std::uint64_t>, bool>;
 
+/// Names and layouts of the parts that follow the fixed layout. A part that is
+/// missing is empty.
+constexpr const char *LimitsPart = "limits";
+constexpr const char *DemandPart = "demand";
+/// Demands of the members of a digest, in their order.
+constexpr const char *MemberDemandPart = "member_demand";
+/// Process, requests per second or a negative number for no limit, age in
+/// milliseconds, whether the statement is a direct one.
+using LimitRow = std::tuple<std::uint64_t, float, std::uint32_t, bool>;
+using DemandRow = std::tuple<std::uint64_t, float>;
+using NamedParts = std::map<std::string, msgpack::object>;
+
 std::uint32_t toUint32(double Value) {
   constexpr double MaxValue = 4e9;
   return static_cast<std::uint32_t>(
       std::lround(std::min(std::max(Value, 0.0), MaxValue)));
 }
 
+std::vector<DemandRow> demandRows(const DemandTable &Demand) {
+  std::vector<DemandRow> Rows;
+  for (const auto &[Service, Rate] : Demand)
+    Rows.emplace_back(Service.Value, static_cast<float>(Rate.Value));
+  return Rows;
+}
+
+DemandTable demandOf(const std::vector<DemandRow> &Rows) {
+  DemandTable Demand;
+  for (const auto &[Service, Rate] : Rows)
+    if (std::isfinite(Rate) && Rate >= 0)
+      Demand.emplace(ServiceKey(Service), RequestRate(Rate));
+  return Demand;
+}
+
+/// Appends the named parts that are not empty.
+void packParts(msgpack::sbuffer &Buffer, const PeerReport &Report) {
+  std::vector<LimitRow> Limits;
+  for (const auto &[Process, Limit] : Report.Limits)
+    Limits.emplace_back(
+        Process.Value,
+        Limit.Rate ? static_cast<float>(Limit.Rate->Value) : -1.0F,
+        toUint32(static_cast<double>(Limit.Age.count())), Limit.Direct);
+  std::vector<std::vector<DemandRow>> MemberDemand;
+  bool AnyDemand = false;
+  for (const ZoneMember &Member : Report.Members) {
+    MemberDemand.push_back(demandRows(Member.Demand));
+    AnyDemand |= !Member.Demand.empty();
+  }
+  std::map<std::string, msgpack::object> Parts;
+  msgpack::zone Zone;
+  if (!Limits.empty())
+    Parts.emplace(LimitsPart, msgpack::object(Limits, Zone));
+  if (!Report.Demand.empty())
+    Parts.emplace(DemandPart, msgpack::object(demandRows(Report.Demand), Zone));
+  if (AnyDemand)
+    Parts.emplace(MemberDemandPart, msgpack::object(MemberDemand, Zone));
+  if (!Parts.empty())
+    msgpack::pack(Buffer, Parts);
+}
+
+/// Reads the named parts that this router knows.
+void readParts(const NamedParts &Parts, PeerReport &Report) {
+  if (const auto Found = Parts.find(LimitsPart); Found != Parts.end())
+    for (const auto &[Process, Rate, Age, Direct] :
+         Found->second.as<std::vector<LimitRow>>()) {
+      ReportedLimit Limit;
+      if (std::isfinite(Rate) && Rate >= 0)
+        Limit.Rate = RequestRate(Rate);
+      Limit.Age = Milliseconds(Age);
+      Limit.Direct = Direct;
+      Report.Limits.emplace(UpstreamProcess(Process), Limit);
+    }
+  if (const auto Found = Parts.find(DemandPart); Found != Parts.end())
+    Report.Demand = demandOf(Found->second.as<std::vector<DemandRow>>());
+  if (const auto Found = Parts.find(MemberDemandPart); Found != Parts.end()) {
+    const auto Rows = Found->second.as<std::vector<std::vector<DemandRow>>>();
+    const std::size_t Count = std::min(Rows.size(), Report.Members.size());
+    for (std::size_t Index = 0; Index < Count; ++Index)
+      Report.Members[Index].Demand = demandOf(Rows[Index]);
+  }
+}
+
 } // namespace
 
 std::string encodeReport(const PeerReport &Report) {
@@ -78,14 +155,16 @@
   }
   msgpack::sbuffer Buffer;
   msgpack::pack(Buffer, Fields);
+  packParts(Buffer, Report);
   return {Buffer.data(), Buffer.size()};
 }
 
 Result<PeerReport> decodeReport(std::string_view Datagram) {
   try {
+    std::size_t Offset = 0;
     const msgpack::object_handle Handle =
-        msgpack::unpack(Datagram.data(), Datagram.size(), nullptr, nullptr,
-                        detail::unpackLimit(Datagram.size()));
+        msgpack::unpack(Datagram.data(), Datagram.size(), Offset, nullptr,
+                        nullptr, detail::unpackLimit(Datagram.size()));
     ReportLayout Fields;
     Handle.get().convert(Fields);
     const auto &[Format, Sender, Incarnation, Sequence, Address, Ready, Version,
@@ -129,6 +208,12 @@
         Proof.ReceivedSequences.emplace(RouterId(Router), LastSequence);
       Report.Proof = std::move(Proof);
     }
+    if (Offset < Datagram.size()) {
+      const msgpack::object_handle Parts =
+          msgpack::unpack(Datagram.data(), Datagram.size(), Offset, nullptr,
+                          nullptr, detail::unpackLimit(Datagram.size()));
+      readParts(Parts.get().as<NamedParts>(), Report);
+    }
     return Report;
   } catch (const std::exception &Exception) {
     return Error{ErrorId::InvalidMessage, Exception.what(), {}};
--- a/src/dataplane/placement.cpp
+++ b/src/dataplane/placement.cpp
@@ -46,6 +46,7 @@
       if (!New)
         It->second = std::min(It->second, Rule.LatencyObjective);
     }
+  EngineTokensPerSecond = 0;
   std::size_t EngineCount = 0;
   for (const Service &Pool : NewConfig.Services)
     if (Pool.Engine)
@@ -54,9 +55,10 @@
     PromptTokensPerMs = DefaultPromptTokensPerMs;
   } else {
     constexpr double MillisecondsPerSecond = 1'000;
+    EngineTokensPerSecond =
+        NewConfig.Limits.TokensPerSecond / static_cast<double>(EngineCount);
     PromptTokensPerMs =
-        PrefillToCapacityRatio * NewConfig.Limits.TokensPerSecond /
-        static_cast<double>(EngineCount) / MillisecondsPerSecond;
+        PrefillToCapacityRatio * EngineTokensPerSecond / MillisecondsPerSecond;
   }
   BaseWorkLimit = Settings.WorkShare * PromptTokensPerMs *
                   static_cast<double>(RecentWorkDecayTime.count());
@@ -68,15 +70,54 @@
     return false;
   return Upstream.staysInUse() && Upstream.BackoffUntil <= Now &&
          Upstream.PausedUntil <= Now &&
+         Table.limits().mayStart(Upstream.Process) &&
          !Query.Excluded.contains(Upstream.Record.Id);
 }
 
-std::optional<TimePoint> Placement::availableFrom(const ServiceId &Name) const {
-  std::optional<TimePoint> Earliest;
-  for (const UpstreamState *State : Table.upstreamsOf(Name))
-    if (State->staysInUse() && (!Earliest || State->PausedUntil < *Earliest))
-      Earliest = State->PausedUntil;
-  return Earliest;
+Placement::Availability Placement::availability(const ServiceId &Name) const {
+  Availability Found;
+  Found.Rate = RequestRate();
+  for (const UpstreamState *State : Table.upstreamsOf(Name)) {
+    if (!State->staysInUse())
+      continue;
+    const TimePoint From = std::max(
+        State->PausedUntil, Table.limits().startableFrom(State->Process));
+    Found.From = std::min(Found.From.value_or(TimePoint::max()), From);
+    const auto Share = Table.limits().shareOf(State->Process);
+    if (!Share && State->PausedUntil <= Time.now())
+      Found.Rate.reset();
+    else if (Share && Found.Rate)
+      *Found.Rate += *Share;
+  }
+  return Found;
+}
+
+void Placement::recordSize(double Tokens) {
+  constexpr double Smoothing = 0.05;
+  MeanTokens =
+      MeanTokens > 0 ? MeanTokens + Smoothing * (Tokens - MeanTokens) : Tokens;
+}
+
+double Placement::capacityFraction() const {
+  if (Config == nullptr || MeanTokens <= 0 || !Table.limits().any())
+    return 1;
+  double Engines = 0;
+  double Usable = 0;
+  for (const Service &Pool : Config->Services) {
+    if (!Pool.Engine)
+      continue;
+    const auto &Members = Table.upstreamsOf(Pool.Name);
+    Engines += static_cast<double>(Members.size());
+    for (const UpstreamState *State : Members) {
+      const auto Limit = Table.limits().limitOf(State->Process);
+      if (!Limit || EngineTokensPerSecond <= 0)
+        Usable += 1;
+      else
+        Usable +=
+            std::min(1.0, Limit->Value * MeanTokens / EngineTokensPerSecond);
+    }
+  }
+  return Engines > 0 ? Usable / Engines : 1;
 }
 
 bool Placement::hasCapacity(const UpstreamState &Upstream,
@@ -193,7 +234,9 @@
 bool Placement::isIdle(const UpstreamState &Upstream) const {
   const double Slots = std::max(1U, Upstream.Record.Slots);
   const UpstreamLoad Current = Upstream.total();
-  return Current.Running < Settings.IdleWork * Slots &&
+  // What a limit leaves is scarce, however few requests run.
+  return !Table.limits().limitOf(Upstream.Process) &&
+         Current.Running < Settings.IdleWork * Slots &&
          Current.RecentWork < Settings.IdleWork * workLimit();
 }
 
--- a/src/dataplane/request_features.cpp
+++ b/src/dataplane/request_features.cpp
@@ -20,6 +20,10 @@
   return Features;
 }
 
+ServiceKey serviceKey(const ServiceId &Name) {
+  return ServiceKey(stableHash(Name.Value));
+}
+
 UpstreamProcess upstreamProcess(const UpstreamRecord &Upstream) {
   return UpstreamProcess(stableHash(Upstream.Id.Value, Upstream.BornMs));
 }
--- a/src/dataplane/request_run.cpp
+++ b/src/dataplane/request_run.cpp
@@ -131,6 +131,7 @@
                         Choice.FetchFrom->Record.Address.port())
           : "";
   Proxy.Upstreams.add(TargetUpstream.Id, ReservedLoad);
+  Proxy.Upstreams.limits().recordStart(TargetProcess);
   SentAt = Proxy.Time.now();
   Reader.reset();
   Head = http1::ResponseHead();
@@ -189,7 +190,7 @@
 void RequestRun::onResponseHead(http1::ResponseHead &Received) {
   Head = std::move(Received);
   const ResponseMetadata Response = Proxy.Wire.readResponse(Head);
-  Proxy.observe(TargetUpstream, Response);
+  Proxy.observe(TargetUpstream, Response, SentAt);
   if (Response.Signed)
     Proxy.Crashes.recordAlive(TargetProcess);
   const ResponseFault Fault = Reader.begin(Head, Response, RelayStarted);
@@ -312,6 +313,9 @@
   if (Done)
     return;
   endAttempt(false);
+  if (Failure == http1::ExchangeFailure::Withdrawn ||
+      Failure == http1::ExchangeFailure::NotConnected)
+    Proxy.Upstreams.limits().recordNotSent(TargetProcess);
   if (Failure == http1::ExchangeFailure::Withdrawn) {
     retryOrFail(AttemptFailure::NotSent, "upstream_unavailable");
     return;
@@ -425,6 +429,8 @@
   }
   if (Reason == Refusal::CrashesUpstreams)
     ++Proxy.Counters.RefusedForQuarantine;
+  if (Reason == Refusal::UpstreamsLimited)
+    ++Proxy.Counters.RefusedForLimits;
   const unsigned Status = Reason == Refusal::ShareUsedUp ? 429 : 503;
   respondWithError(Status, toString(Reason), RetryAfter);
 }
--- a/src/dataplane/traffic.cpp
+++ b/src/dataplane/traffic.cpp
@@ -80,7 +80,9 @@
              [this](const std::shared_ptr<http1::ServerExchange> &Exchange) {
                onRequest(Exchange);
              }),
-      Pool(Context, Wire.attemptHeader(), ConnectionTimeouts), Upstreams(Time),
+      Pool(Context, Wire.attemptHeader(), ConnectionTimeouts),
+      Upstreams(Time, RouterKey(stableHash(Settings.PeerListen)),
+                Random.next()),
       Placer(Upstreams, Time, Random, Settings.Zone, Settings.PlacementLimits),
       Shares(Time), Queue(Placer, Shares, Time, Random),
       Retries(Settings.Retries, Time), Crashes(Time, Random.next()),
@@ -174,13 +176,37 @@
   Crashes.merge(Sums.Crashes);
   Crashes.setFleet(Sums.FirstOfFleet, View.Routers);
   Placer.workLimitController().setPeers(Sums.WorkLimitFactorSum, Sums.Routers);
+  Upstreams.limits().setPeers(Sums.Limits, Sums.Members);
   if (View.Config)
-    Shares.update(View.Config->Limits.TokensPerSecond);
+    Shares.update(View.Config->Limits.TokensPerSecond *
+                  Placer.capacityFraction());
   Queue.dispatch();
 }
 
+void Traffic::observeLimit(const UpstreamRecord &Upstream,
+                           const ResponseMetadata &Response, TimePoint SentAt) {
+  if (Response.LimitUnreadable)
+    return;
+  std::optional<RequestRate> Rate;
+  if (Response.RequestsPerSecond)
+    Rate = RequestRate(*Response.RequestsPerSecond);
+  const UpstreamProcess Process = upstreamProcess(Upstream);
+  const LimitChange Change =
+      Upstreams.limits().recordResponse(Process, Rate, SentAt);
+  if (Change == LimitChange::None)
+    return;
+  const auto Share = Upstreams.limits().shareOf(Process);
+  Log.write(Change == LimitChange::Begins    ? "upstream_limit_begins"
+            : Change == LimitChange::Changes ? "upstream_limit_changes"
+                                             : "upstream_limit_ends",
+            {{"upstream", Upstream.Id.Value},
+             {"per_second", Rate ? Rate->Value : 0.0},
+             {"own_share", Share ? Share->Value : 0.0}});
+}
+
 void Traffic::observe(const UpstreamRecord &Upstream,
-                      const ResponseMetadata &Response) {
+                      const ResponseMetadata &Response, TimePoint SentAt) {
+  observeLimit(Upstream, Response, SentAt);
   if (Response.Leaving && Upstreams.leaving(Upstream)) {
     Pool.closeIdleConnections(Upstream.Address);
     Log.write("upstream_leaving", {{"upstream", Upstream.Id.Value}});
@@ -201,9 +227,12 @@
   updateQuarantines();
   std::tie(Counters.UpstreamsLeaving, Counters.UpstreamsPaused) =
       Upstreams.countNoticed();
+  Counters.UpstreamsLimited = Upstreams.limits().limitedCount();
   return {Upstreams.ownLoads(),
           Shares.ownUsage(),
           Crashes.report(),
+          Upstreams.limits().report(),
+          Upstreams.limits().ownDemand(),
           Server.busyConnections(),
           Overload.withheldFromCallers(Time.now()),
           Placer.workLimitController().own()};
--- a/src/dataplane/upstream_table.cpp
+++ b/src/dataplane/upstream_table.cpp
@@ -72,6 +72,7 @@
       State = Previous->second;
     State.Record = Record;
     State.Key = UpstreamKey(stableHash(Record.Id.Value));
+    State.Process = upstreamProcess(Record);
     applyNotices(State);
   }
   for (const auto &[Id, State] : Upstreams) {
@@ -83,8 +84,12 @@
   }
   Upstreams = std::move(Next);
   ByService.clear();
-  for (auto &[Id, State] : Upstreams)
+  std::unordered_map<UpstreamProcess, ServiceKey> Listed;
+  for (auto &[Id, State] : Upstreams) {
     ByService[State.Record.Service].push_back(&State);
+    Listed.emplace(State.Process, serviceKey(State.Record.Service));
+  }
+  Limits.setListed(std::move(Listed));
   setPeers(PeerLoads);
   return Unavailable;
 }
--- /dev/null
+++ b/tests/support/limit_simulation.cpp
@@ -0,0 +1,245 @@
+#include "limit_simulation.hpp"
+
+#include <algorithm>
+#include <deque>
+#include <memory>
+
+using namespace mallowglade;
+using namespace mallowglade::dataplane;
+
+namespace {
+
+constexpr Milliseconds Step{10};
+constexpr Milliseconds Window{4'000};
+constexpr Milliseconds JudgedFrom{3'000};
+constexpr Milliseconds ResponseDelay{150};
+constexpr Milliseconds Patience{500};
+constexpr Milliseconds PeerWait{500};
+constexpr Milliseconds SumPeriod{50};
+const ServiceId Pool("pool");
+
+UpstreamProcess processOf(unsigned Upstream) {
+  return UpstreamProcess(1'000 + Upstream);
+}
+
+RouterRecord recordOf(unsigned Router) {
+  const std::string Name = "router-" + std::to_string(Router);
+  return {RouterId(Name), ZoneId("a"), Name, Name};
+}
+
+struct Response {
+  unsigned Upstream;
+  std::optional<RequestRate> Limit;
+  TimePoint SentAt;
+  TimePoint ArrivesAt;
+};
+
+struct SimulatedRouter {
+  SimulatedRouter(unsigned Index, const Clock &Time, unsigned Upstreams,
+                  const std::vector<RouterRecord> &Fleet, std::uint64_t Seed)
+      : Peers(recordOf(Index), Time),
+        Limits(Time, RouterKey(stableHash(recordOf(Index).Id.Value)), Seed),
+        Incarnation(Seed) {
+    std::unordered_map<UpstreamProcess, ServiceKey> Listed;
+    for (unsigned Upstream = 0; Upstream < Upstreams; ++Upstream)
+      Listed.emplace(processOf(Upstream), serviceKey(Pool));
+    Limits.setListed(std::move(Listed));
+    Peers.setRegistered(Fleet);
+  }
+
+  PeerDirectory Peers;
+  UpstreamLimits Limits;
+  std::uint64_t Incarnation;
+  std::uint64_t Sequence = 0;
+  TimePoint NextReport{};
+  /// Time since the begin of the simulation.
+  Milliseconds StartedAt{};
+  bool Serves = false;
+  TimePoint NextSums{};
+  std::deque<TimePoint> Waiting;
+  std::deque<Response> Responses;
+};
+
+struct Datagram {
+  unsigned To;
+  TimePoint ArrivesAt;
+  std::string Bytes;
+};
+
+class Simulation {
+public:
+  Simulation(const LimitScenario &Scenario, std::uint64_t Seed)
+      : Scenario(Scenario), Random(Seed), Starts(Scenario.Upstreams) {
+    for (unsigned Index = 0; Index < Scenario.Routers; ++Index)
+      Fleet.push_back(recordOf(Index));
+    Routers.resize(Scenario.Routers);
+  }
+
+  LimitOutcome run() {
+    const TimePoint Begin = Time.now();
+    for (Milliseconds At{0}; At < Scenario.Duration; At += Step) {
+      for (unsigned Index = 0; Index < Scenario.Routers; ++Index)
+        step(Index, At);
+      deliver();
+      Time.advance(Step);
+    }
+    return outcome(Begin);
+  }
+
+private:
+  double uniform() {
+    constexpr std::uint64_t Resolution = 1U << 30U;
+    return static_cast<double>(Random.below(Resolution)) /
+           static_cast<double>(Resolution);
+  }
+
+  std::optional<RequestRate> limitAt(Milliseconds At) const {
+    const double Limit =
+        Scenario.LimitAt ? Scenario.LimitAt(At) : Scenario.Limit;
+    return Limit > 0 ? std::optional(RequestRate(Limit)) : std::nullopt;
+  }
+
+  void step(unsigned Index, Milliseconds At) {
+    auto &Router = Routers[Index];
+    if (Scenario.Runs && !Scenario.Runs(Index, At)) {
+      Router.reset();
+      return;
+    }
+    const TimePoint Now = Time.now();
+    if (!Router) {
+      Router = std::make_unique<SimulatedRouter>(
+          Index, Time, Scenario.Upstreams, Fleet, Random.next());
+      Router->StartedAt = At;
+      Router->NextReport =
+          Now + Milliseconds(static_cast<std::int64_t>(Random.below(100)));
+    }
+    // As in `Control`, a router takes callers once it has heard from one that
+    // does, or has waited for the others.
+    if (!Router->Serves)
+      Router->Serves = Router->Peers.newestConfiguration().Value > 0 ||
+                       At - Router->StartedAt >= PeerWait;
+    if (Router->Serves)
+      arrive(Index, *Router);
+    while (!Router->Responses.empty() &&
+           Router->Responses.front().ArrivesAt <= Now) {
+      const Response Received = Router->Responses.front();
+      Router->Responses.pop_front();
+      Router->Limits.recordResponse(processOf(Received.Upstream),
+                                    Received.Limit, Received.SentAt);
+    }
+    place(*Router, At);
+    if (Now >= Router->NextReport) {
+      Router->NextReport = Now + Router->Peers.reportPeriod();
+      report(Index, *Router, At);
+    }
+    if (Now >= Router->NextSums) {
+      Router->NextSums = Now + SumPeriod;
+      const PeerSums Sums = Router->Peers.sums();
+      Router->Limits.setPeers(Sums.Limits, Sums.Members);
+    }
+  }
+
+  void arrive(unsigned Index, SimulatedRouter &Router) {
+    const double PerRouter = Scenario.Demand * (1 - Scenario.OnFirstRouter) /
+                             static_cast<double>(Scenario.Routers);
+    const double Rate =
+        PerRouter + (Index == 0 ? Scenario.Demand * Scenario.OnFirstRouter : 0);
+    double Expected = Rate * std::chrono::duration<double>(Step).count();
+    for (; Expected > 0; Expected -= 1)
+      if (uniform() < std::min(1.0, Expected)) {
+        Router.Limits.recordDemand(serviceKey(Pool));
+        Router.Waiting.push_back(Time.now());
+      }
+  }
+
+  void place(SimulatedRouter &Router, Milliseconds At) {
+    const TimePoint Now = Time.now();
+    std::erase_if(Router.Waiting, [Now](TimePoint Arrived) {
+      return Now - Arrived > Patience;
+    });
+    const auto First = static_cast<unsigned>(Random.below(Scenario.Upstreams));
+    for (unsigned Tried = 0;
+         Tried < Scenario.Upstreams && !Router.Waiting.empty(); ++Tried) {
+      const unsigned Upstream = (First + Tried) % Scenario.Upstreams;
+      // Without a limit, a slot a tick stands for the upstream's capacity.
+      if (!Router.Limits.mayStart(processOf(Upstream)))
+        continue;
+      Router.Waiting.pop_front();
+      Router.Limits.recordStart(processOf(Upstream));
+      Starts[Upstream].push_back(Now);
+      Router.Responses.push_back(
+          {Upstream, limitAt(At), Now, Now + ResponseDelay});
+    }
+  }
+
+  void report(unsigned Index, SimulatedRouter &Router, Milliseconds At) {
+    PeerReport Report;
+    Report.Sender = Fleet[Index].Id;
+    Report.Incarnation = Router.Incarnation;
+    Report.Sequence = ++Router.Sequence;
+    Report.Zone = Fleet[Index].Zone;
+    Report.CallerAddress = Fleet[Index].CallerAddress;
+    Report.Ready = true;
+    Report.Config = ConfigurationVersion(Router.Serves ? 1 : 0);
+    Report.Limits = Router.Limits.report();
+    Report.Demand = Router.Limits.ownDemand();
+    const std::string Bytes = encodeReport(Report);
+    for (unsigned To = 0; To < Scenario.Routers; ++To)
+      if (To != Index && uniform() >= Scenario.ReportLoss &&
+          (!Scenario.Reaches || Scenario.Reaches(Index, To, At)))
+        Datagrams.push_back({To, Time.now() + Scenario.ReportDelay, Bytes});
+  }
+
+  void deliver() {
+    while (!Datagrams.empty() && Datagrams.front().ArrivesAt <= Time.now()) {
+      const Datagram Next = std::move(Datagrams.front());
+      Datagrams.pop_front();
+      if (Routers[Next.To])
+        Routers[Next.To]->Peers.accept(valueOf(decodeReport(Next.Bytes)));
+    }
+  }
+
+  LimitOutcome outcome(TimePoint Begin) const {
+    LimitOutcome Result;
+    Result.BySecond.resize(
+        static_cast<std::size_t>(Scenario.Duration / std::chrono::seconds(1)));
+    double Judged = 0;
+    for (const auto &Times : Starts) {
+      auto WindowBegin = Times.begin();
+      for (auto It = Times.begin(); It != Times.end(); ++It) {
+        const auto Second =
+            static_cast<std::size_t>((*It - Begin) / std::chrono::seconds(1));
+        if (Second < Result.BySecond.size())
+          Result.BySecond[Second] += 1;
+        if (*It < Begin + JudgedFrom) {
+          WindowBegin = std::next(It);
+          continue;
+        }
+        Judged += 1;
+        while (*It - *WindowBegin >= Window)
+          ++WindowBegin;
+        Result.MostInFourSeconds =
+            std::max(Result.MostInFourSeconds,
+                     static_cast<double>(std::distance(WindowBegin, It) + 1));
+      }
+    }
+    Result.PerSecond =
+        Judged /
+        std::chrono::duration<double>(Scenario.Duration - JudgedFrom).count();
+    return Result;
+  }
+
+  const LimitScenario &Scenario;
+  SeededRandom Random;
+  ManualClock Time;
+  std::vector<RouterRecord> Fleet;
+  std::vector<std::unique_ptr<SimulatedRouter>> Routers;
+  std::deque<Datagram> Datagrams;
+  std::vector<std::vector<TimePoint>> Starts;
+};
+
+} // namespace
+
+LimitOutcome simulateLimits(const LimitScenario &Scenario, std::uint64_t Seed) {
+  return Simulation(Scenario, Seed).run();
+}
--- /dev/null
+++ b/tests/support/limit_simulation.hpp
@@ -0,0 +1,47 @@
+#pragma once
+
+#include <mallowglade/dataplane.hpp>
+
+#include <functional>
+#include <vector>
+
+/// A fleet of routers whose upstreams have named limits.
+struct LimitScenario {
+  unsigned Routers = 8;
+  unsigned Upstreams = 4;
+  /// Limit of each upstream, requests per second.
+  double Limit = 4;
+  /// Requests per second of all callers.
+  double Demand = 100;
+  /// Fraction of the callers that use the first router; the others use all
+  /// routers alike.
+  double OnFirstRouter = 0;
+  /// Time that reports take.
+  std::chrono::milliseconds ReportDelay{50};
+  /// Fraction of the reports that are lost.
+  double ReportLoss = 0;
+  std::chrono::milliseconds Duration{20'000};
+  /// Tells whether a router runs; one that runs again starts from nothing.
+  std::function<bool(unsigned Router, std::chrono::milliseconds At)> Runs;
+  /// Tells whether reports pass between two routers.
+  std::function<bool(unsigned From, unsigned To, std::chrono::milliseconds At)>
+      Reaches;
+  /// Limit of all upstreams at a time, instead of `Limit`; 0 for none.
+  std::function<double(std::chrono::milliseconds At)> LimitAt;
+};
+
+/// What the upstreams saw.
+struct LimitOutcome {
+  /// Most requests that an upstream got in four seconds, from 3 s after the
+  /// start.
+  double MostInFourSeconds = 0;
+  /// Requests of all upstreams a second, from 3 s after the start.
+  double PerSecond = 0;
+  /// The same in each second from the start.
+  std::vector<double> BySecond;
+};
+
+/// Simulates the routers' use of limited upstreams without a network. Routers
+/// report to each other as those of one availability zone do. Each router has
+/// its callers wait up to half a second.
+LimitOutcome simulateLimits(const LimitScenario &Scenario, std::uint64_t Seed);
