--- a/include/mallowglade/detail/dataplane/peer_directory.hpp
+++ b/include/mallowglade/detail/dataplane/peer_directory.hpp
@@ -104,6 +104,7 @@
     PeerReport LastReport;
     TimePoint ReceivedAt{};
   };
+  void countZonePeers();
   Milliseconds sinceReceived(TimePoint ReceivedAt) const;
   /// @return true if no live router of the fleet has a lower id
   bool isFirstOfFleet() const;
@@ -125,6 +126,8 @@
   const Clock &Time;
   std::map<RouterId, Peer> Peers;
   std::map<ZoneId, Digest> Digests;
+  /// Number of other routers of this zone; kept because `isLive` needs it.
+  std::size_t ZonePeers = 0;
 };
 
 } // namespace mallowglade::dataplane
--- a/src/dataplane/peer_directory.cpp
+++ b/src/dataplane/peer_directory.cpp
@@ -84,6 +84,14 @@
     return !Entry.second.Registered &&
            Now - Entry.second.ReceivedAt > UnregisteredRetention;
   });
+  countZonePeers();
+}
+
+void PeerDirectory::countZonePeers() {
+  ZonePeers = static_cast<std::size_t>(
+      std::count_if(Peers.begin(), Peers.end(), [this](const auto &Entry) {
+        return inSameZone(Entry.second);
+      }));
 }
 
 AcceptResult PeerDirectory::accept(PeerReport Report) {
@@ -94,6 +102,7 @@
 }
 
 AcceptResult PeerDirectory::acceptRouterReport(PeerReport Report) {
+  const bool IsNew = !Peers.contains(Report.Sender);
   Peer &Router = Peers[Report.Sender];
   const bool Restarted = Router.LastReport.Incarnation != Report.Incarnation;
   if (!Restarted && Report.Sequence <= Router.LastReport.Sequence)
@@ -107,6 +116,8 @@
   Router.Demand = Report.Demand;
   Router.LastReport = std::move(Report);
   Router.ReceivedAt = Time.now();
+  if (IsNew)
+    countZonePeers();
   return {true, Changed};
 }
 
@@ -256,10 +267,6 @@
 
 Milliseconds PeerDirectory::reportPeriod() const {
   constexpr std::size_t MillisecondsPerSecond = 1'000;
-  const auto ZonePeers = static_cast<std::size_t>(
-      std::count_if(Peers.begin(), Peers.end(), [this](const auto &Entry) {
-        return inSameZone(Entry.second);
-      }));
   const auto RatePeriod = Milliseconds(static_cast<std::int64_t>(
       ZonePeers * MillisecondsPerSecond / MaxReportsPerSecond));
   return std::max(MinReportPeriod, RatePeriod);
