--- a/tests/standins/standin-service.cpp
+++ b/tests/standins/standin-service.cpp
@@ -56,6 +56,8 @@
   void serve(const httplib::Request &Request, const std::string &Body,
              httplib::Response &Response) {
     const Mode Current = State;
+    if (const double Named = LimitPerSecond; Named > 0)
+      Response.set_header("Server-Limit", fmt::format("{:.1f}", Named));
     if (Current == Mode::Refuse || Current == Mode::Leaving) {
       Response.status = 503;
       Response.set_header("Retry-After", "1");
@@ -90,6 +92,8 @@
       State = parseMode(Change["mode"]);
     if (Change.contains("delay_ms"))
       DelayMs = Change["delay_ms"].get<int>();
+    if (Change.contains("limit"))
+      LimitPerSecond = Change["limit"].get<double>();
   }
 
   json executions() {
@@ -118,6 +122,8 @@
 
   std::atomic<Mode> State{Mode::Up};
   std::atomic<int> DelayMs{0};
+  /// Limit named in responses; 0 for none.
+  std::atomic<double> LimitPerSecond{0};
   std::mutex Mutex;
   std::map<std::string, int> Counts;
   std::map<std::string, int> RequestCounts;
