--- a/src/dataplane/admission.cpp
+++ b/src/dataplane/admission.cpp
@@ -74,7 +74,9 @@
                          !Shares.withinShare(Request->ShareKey);
   if (!OverShare)
     Placer.recordDemand(Request->Query.Service);
-  if (refuseUnservable(*Request, countAhead(*Request)))
+  const bool Limited =
+      Placer.availability(Request->Query.Service).Rate.has_value();
+  if (refuseUnservable(*Request, Limited ? countAhead(*Request) : 0))
     return;
   if (OverShare) {
     const PlacementChoice Choice = Placer.choose(Request->Query);
--- a/src/dataplane/placement.cpp
+++ b/src/dataplane/placement.cpp
@@ -75,19 +75,20 @@
 }
 
 Placement::Availability Placement::availability(const ServiceId &Name) const {
+  const TimePoint Now = Time.now();
   Availability Found;
   Found.Rate = RequestRate();
   for (const UpstreamState *State : Table.upstreamsOf(Name)) {
     if (!State->staysInUse())
       continue;
+    const auto Share = Table.limits().shareOf(State->Process);
+    if (!Share && State->PausedUntil <= Now)
+      return {Now, std::nullopt};
+    if (Share)
+      *Found.Rate += *Share;
     const TimePoint From = std::max(
         State->PausedUntil, Table.limits().startableFrom(State->Process));
     Found.From = std::min(Found.From.value_or(TimePoint::max()), From);
-    const auto Share = Table.limits().shareOf(State->Process);
-    if (!Share && State->PausedUntil <= Time.now())
-      Found.Rate.reset();
-    else if (Share && Found.Rate)
-      *Found.Rate += *Share;
   }
   return Found;
 }
