Tell starting routers all limits again; count arrivals by an integer

Cause: told a tenth of the limits that a router had only heard in each report, so twelve routers that joined at once knew too little: routersThatJoinDoNotExceedTheLimit failed (39 requests in 4 s, 29 allowed). The simulation draws the same expected number of arrivals without such a loop. Conclusion: reports may tell less only while no router is new; open.

--- a/src/dataplane/upstream_limits.cpp
+++ b/src/dataplane/upstream_limits.cpp
@@ -13,9 +13,6 @@
 /// Minimum time between divisions of all limits, which cost time for each
 /// router and limited upstream.
 constexpr Milliseconds DivisionPeriod{200};
-/// What was only heard is told once in so many intervals.
-constexpr std::uint64_t HeardReportTurns = 10;
-constexpr Milliseconds HeardReportInterval{100};
 /// Time between two new values of a limit that are told, and factor by which
 /// they differ; an upstream may name another value in each response.
 constexpr Milliseconds MinTellPeriod{1'000};
@@ -233,16 +230,12 @@
 
 LimitTable UpstreamLimits::report() const {
   const TimePoint Now = Time.now();
-  // What was only heard is told in turn: each router of a zone repeats it.
-  const auto Turn =
-      static_cast<std::uint64_t>(Now.time_since_epoch() / HeardReportInterval);
   LimitTable Table;
   for (const auto &[Process, Latest] : Statements)
-    if (Latest.Own || ((Process.Value ^ Seed) + Turn) % HeardReportTurns == 0)
-      Table.emplace(Process, ReportedLimit{Latest.Rate,
-                                           std::chrono::ceil<Milliseconds>(
-                                               Now - Latest.SaidAt),
-                                           Latest.Own});
+    Table.emplace(Process, ReportedLimit{Latest.Rate,
+                                         std::chrono::ceil<Milliseconds>(
+                                             Now - Latest.SaidAt),
+                                         Latest.Own});
   return Table;
 }
 
--- a/tests/support/limit_simulation.cpp
+++ b/tests/support/limit_simulation.cpp
@@ -144,12 +144,13 @@
                              static_cast<double>(Scenario.Routers);
     const double Rate =
         PerRouter + (Index == 0 ? Scenario.Demand * Scenario.OnFirstRouter : 0);
-    double Expected = Rate * std::chrono::duration<double>(Step).count();
-    for (; Expected > 0; Expected -= 1)
-      if (uniform() < std::min(1.0, Expected)) {
-        Router.Limits.recordDemand(serviceKey(Pool));
-        Router.Waiting.push_back(Time.now());
-      }
+    const double Expected = Rate * std::chrono::duration<double>(Step).count();
+    const auto Whole = static_cast<unsigned>(Expected);
+    const unsigned Arrivals = Whole + (uniform() < Expected - Whole ? 1 : 0);
+    for (unsigned Count = 0; Count < Arrivals; ++Count) {
+      Router.Limits.recordDemand(serviceKey(Pool));
+      Router.Waiting.push_back(Time.now());
+    }
   }
 
   void place(SimulatedRouter &Router, Milliseconds At) {
