--- a/tests/unit-dataplane-upstream-limits.cpp
+++ b/tests/unit-dataplane-upstream-limits.cpp
@@ -19,11 +19,21 @@
   return Request.substr(Begin, Request.find("\r\n", Begin) - Begin);
 }
 
+ResponseMetadata readLimit(const std::vector<std::string> &Values) {
+  http1::ResponseHead Head;
+  Head.Status = 200;
+  for (const std::string &Value : Values)
+    Head.Headers.add("Server-Limit", Value);
+  return platform::PlatformWire().readResponse(Head);
+}
+
 } // namespace
 
 class UpstreamLimitsTest : public CppUnit::TestFixture {
   CPPUNIT_TEST_SUITE(UpstreamLimitsTest);
   CPPUNIT_TEST(upstreamThatNamesALimitGetsNoMoreThanThat);
+  CPPUNIT_TEST(requestsBeyondTheLimitAreRefusedAtOnce);
+  CPPUNIT_TEST(limitIsParsed);
   CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -44,6 +54,39 @@
     CPPUNIT_ASSERT_LESSEQUAL(MostInFourSeconds, H.requestCount());
     CPPUNIT_ASSERT_GREATEREQUAL(std::size_t(LimitPerSecond), H.requestCount());
   }
+
+  // Guards against requests that wait for what a limit cannot give in time.
+  void requestsBeyondTheLimitAreRefusedAtOnce() {
+    Harness H(1);
+    H.OnRequest = [](UpstreamSession &Session, const std::string &Request) {
+      Session.send(Harness::signedResponse(idOf(Request), "answer", "200 OK",
+                                           "Server-Limit: 0.2\r\n"));
+    };
+    // At most one request is allowed at once after the first.
+    std::size_t Caller = 0;
+    for (int Number = 0; Number < 3; ++Number) {
+      Caller = H.connect();
+      H.sendAsCaller(Caller,
+                     Harness::callerRequest("GET", "/safe/x",
+                                            "a" + std::to_string(Number)));
+      H.runFor(std::chrono::milliseconds(100));
+    }
+    CPPUNIT_ASSERT(H.received(Caller).starts_with("HTTP/1.1 503"));
+    CPPUNIT_ASSERT(H.received(Caller).find("Retry-After: 2.00") !=
+                   std::string::npos);
+  }
+
+  // Guards against values that are no limit, and against taking them for none.
+  void limitIsParsed() {
+    CPPUNIT_ASSERT_EQUAL(3.5, readLimit({"3.5"}).RequestsPerSecond.value());
+    CPPUNIT_ASSERT_EQUAL(0.0, readLimit({"0"}).RequestsPerSecond.value());
+    for (const char *Value : {"", "-1", "few", "2/s", "nan", "inf", "1e300"}) {
+      CPPUNIT_ASSERT_MESSAGE(Value, !readLimit({Value}).RequestsPerSecond);
+      CPPUNIT_ASSERT_MESSAGE(Value, readLimit({Value}).LimitUnreadable);
+    }
+    CPPUNIT_ASSERT(readLimit({"1", "2"}).LimitUnreadable);
+    CPPUNIT_ASSERT(!readLimit({}).LimitUnreadable);
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(UpstreamLimitsTest);
