Use what limits leave when few requests wait and while routers restart

Cause: a router with a small share saves a quarter of a second of it, while its next request comes after two thirds of a second, so what fills in between is lost; and the share of a router that has gone is lost for the second after which it counts as failed, which is as long as it was away.

Change: small shares are saved for a second, up to a third of a request; a silent router of the zone holds no share after half a second. Members are collected without copying those that are not used, and their keys are kept. The simulation decodes each report once, not once for each receiver; all receivers see the same.

--- a/include/mallowglade/detail/dataplane/peer_directory.hpp
+++ b/include/mallowglade/detail/dataplane/peer_directory.hpp
@@ -92,6 +92,7 @@
 private:
   struct Peer {
     RouterRecord Record;
+    RouterKey Key{};
     PeerReport LastReport;
     TimePoint ReceivedAt{};
     /// Readiness according to the latest digest of its zone, if it is in
--- a/include/mallowglade/detail/scheduling/rate_share.hpp
+++ b/include/mallowglade/detail/scheduling/rate_share.hpp
@@ -22,10 +22,10 @@
 /// @brief Number of routers among which a rate is divided.
 ///
 /// Each holder may have saved up one request and a quarter of a second of its
-/// share, so in any time T at most `Rate * T + holders + Rate / 4` requests
-/// are started while the routers agree on the members. With two holders more
-/// than requests per second, that is less than `5.25 * Rate + 3` in four
-/// seconds.
+/// share, or a whole second of a small share up to a third of a request, so in
+/// any time T at most `Rate * T + 4/3 * holders + Rate / 4` requests are
+/// started while the routers agree on the members. With two holders more than
+/// requests per second, that is at most `5.6 * Rate + 4` in four seconds.
 std::size_t rateHolders(RequestRate Rate);
 
 /// @brief Divides a rate without messages about single requests.
--- a/src/dataplane/peer_directory.cpp
+++ b/src/dataplane/peer_directory.cpp
@@ -16,6 +16,10 @@
 /// Minimum time without a report before a router counts as failed; tolerates
 /// slow starts and lack of processor time.
 constexpr Milliseconds MinFailureTimeout{1'000};
+/// The same for the division of limits: what a router that has failed leaves
+/// unused is lost until then, and one that is only silent still keeps to its
+/// share.
+constexpr Milliseconds MinLimitTimeout{500};
 /// The second router of a zone sends and forwards every n-th digest. The time
 /// between its digests must exceed `DigestTakeover`; otherwise they would keep
 /// those of the first router from being accepted.
@@ -41,6 +45,10 @@
 /// Sort key of the routers of a zone; the same on all routers.
 std::uint64_t rankKey(const RouterId &Id) { return stableHash(Id.Value); }
 
+RouterKey rateKey(const RouterId &Id) {
+  return RouterKey(stableHash(Id.Value));
+}
+
 void addUsage(UsageTable &Total, const UsageTable &Added) {
   for (const auto &[Key, Usage] : Added) {
     Total[Key].Demand += Usage.Demand;
@@ -77,6 +85,7 @@
       continue;
     Peer &Router = Peers[Record.Id];
     Router.Record = Record;
+    Router.Key = rateKey(Record.Id);
     Router.Registered = true;
   }
   const TimePoint Now = Time.now();
@@ -110,6 +119,7 @@
   const bool Changed =
       !isLive(Router) || Router.LastReport.Ready != Report.Ready;
   Router.Record.Id = Report.Sender;
+  Router.Key = rateKey(Report.Sender);
   Router.Record.Zone = Report.Zone;
   Router.Record.PeerAddress = Report.Sender.Value;
   Router.Record.CallerAddress = Report.CallerAddress;
@@ -138,6 +148,7 @@
     Peer &Router = Peers[Member.Id];
     Changed |= !isLive(Router) || Router.ReadyInDigest != Member.Ready;
     Router.Record.Id = Member.Id;
+    Router.Key = rateKey(Member.Id);
     Router.Record.Zone = Report.Zone;
     Router.Record.PeerAddress = Member.Id.Value;
     Router.Record.CallerAddress = Member.CallerAddress;
@@ -284,20 +295,26 @@
 
 std::vector<FleetMember> PeerDirectory::limitMembers() const {
   const TimePoint Now = Time.now();
-  std::vector<FleetMember> Live;
-  std::vector<FleetMember> Known;
+  std::vector<const Peer *> Live;
+  std::vector<const Peer *> Known;
   for (const auto &[Id, Router] : Peers) {
-    const FleetMember Member{RouterKey(stableHash(Id.Value)), Router.Demand};
     const bool Heard = Router.ReceivedAt != TimePoint{};
-    if (isLive(Router))
-      Live.push_back(Member);
+    if (isLive(Router) &&
+        (!inSameZone(Router) ||
+         Now - Router.ReceivedAt <
+             std::max(MinLimitTimeout, MissedReportLimit * reportPeriod())))
+      Live.push_back(&Router);
     if (Router.Registered ||
         (Heard && Now - Router.ReceivedAt < UnregisteredRetention))
-      Known.push_back(Member);
+      Known.push_back(&Router);
   }
   // A router that hears at most half of the fleet may be cut off from the rest,
   // which goes on; it keeps the part that it had.
-  return 2 * (Live.size() + 1) > Known.size() + 1 ? Live : Known;
+  std::vector<FleetMember> Members;
+  for (const Peer *Router :
+       2 * (Live.size() + 1) > Known.size() + 1 ? Live : Known)
+    Members.push_back({Router->Key, Router->Demand});
+  return Members;
 }
 
 PeerSums PeerDirectory::sums() const {
--- a/src/scheduling/rate_share.cpp
+++ b/src/scheduling/rate_share.cpp
@@ -13,6 +13,10 @@
 /// Time for which unused share is saved beyond one request; covers pauses
 /// between requests.
 constexpr double SavedSeconds = 0.25;
+/// The same for small shares, up to a part of a request: a router that may
+/// start one request in seconds often has to wait for one.
+constexpr double SavedSecondsOfSmallShare = 1;
+constexpr double MaxSavedOfSmallShare = 1.0 / 3;
 /// Requests per second by which the allowance of a router without a share
 /// shrinks.
 constexpr double UnheldDecay = 0.1;
@@ -78,8 +82,11 @@
   if (Share.Value <= 0)
     return std::max(std::min(Available, 0.0),
                     Available - UnheldDecay * Elapsed);
-  const double Limit = 1 + Share.Value * SavedSeconds;
-  return std::min(std::max(Limit, 0.0), Available + Share.Value * Elapsed);
+  const double Limit =
+      1 + std::max(Share.Value * SavedSeconds,
+                   std::min(Share.Value * SavedSecondsOfSmallShare,
+                            MaxSavedOfSmallShare));
+  return std::min(Limit, Available + Share.Value * Elapsed);
 }
 
 void RateAllowance::refill(TimePoint Now) {
--- a/tests/support/limit_simulation.cpp
+++ b/tests/support/limit_simulation.cpp
@@ -9,14 +9,14 @@
 
 namespace {
 
-constexpr Milliseconds Step{20};
+constexpr Milliseconds LimitStep{20};
 constexpr Milliseconds Window{4'000};
 constexpr Milliseconds JudgedFrom{3'000};
 constexpr Milliseconds ResponseDelay{150};
 constexpr Milliseconds Patience{500};
 constexpr Milliseconds PeerWait{500};
 constexpr Milliseconds SumPeriod{50};
-const ServiceId Pool("pool");
+const ServiceId LimitedPool("pool");
 
 UpstreamProcess processOf(unsigned Upstream) {
   return UpstreamProcess(1'000 + Upstream);
@@ -42,7 +42,7 @@
         Incarnation(Seed) {
     std::unordered_map<UpstreamProcess, ServiceKey> Listed;
     for (unsigned Upstream = 0; Upstream < Upstreams; ++Upstream)
-      Listed.emplace(processOf(Upstream), serviceKey(Pool));
+      Listed.emplace(processOf(Upstream), serviceKey(LimitedPool));
     Limits.setListed(std::move(Listed));
     Peers.setRegistered(Fleet);
   }
@@ -60,15 +60,16 @@
   std::deque<Response> Responses;
 };
 
-struct Datagram {
-  unsigned To;
+/// A report on its way to the routers that it reaches.
+struct Multicast {
+  std::vector<unsigned> To;
   TimePoint ArrivesAt;
-  std::string Bytes;
+  PeerReport Report;
 };
 
-class Simulation {
+class LimitSimulation {
 public:
-  Simulation(const LimitScenario &Scenario, std::uint64_t Seed)
+  LimitSimulation(const LimitScenario &Scenario, std::uint64_t Seed)
       : Scenario(Scenario), Random(Seed), Starts(Scenario.Upstreams) {
     for (unsigned Index = 0; Index < Scenario.Routers; ++Index)
       Fleet.push_back(recordOf(Index));
@@ -77,11 +78,11 @@
 
   LimitOutcome run() {
     const TimePoint Begin = Time.now();
-    for (Milliseconds At{0}; At < Scenario.Duration; At += Step) {
+    for (Milliseconds At{0}; At < Scenario.Duration; At += LimitStep) {
       for (unsigned Index = 0; Index < Scenario.Routers; ++Index)
         step(Index, At);
       deliver();
-      Time.advance(Step);
+      Time.advance(LimitStep);
     }
     return outcome(Begin);
   }
@@ -144,11 +145,12 @@
                              static_cast<double>(Scenario.Routers);
     const double Rate =
         PerRouter + (Index == 0 ? Scenario.Demand * Scenario.OnFirstRouter : 0);
-    const double Expected = Rate * std::chrono::duration<double>(Step).count();
+    const double Expected =
+        Rate * std::chrono::duration<double>(LimitStep).count();
     const auto Whole = static_cast<unsigned>(Expected);
     const unsigned Arrivals = Whole + (uniform() < Expected - Whole ? 1 : 0);
     for (unsigned Count = 0; Count < Arrivals; ++Count) {
-      Router.Limits.recordDemand(serviceKey(Pool));
+      Router.Limits.recordDemand(serviceKey(LimitedPool));
       Router.Waiting.push_back(Time.now());
     }
   }
@@ -184,19 +186,23 @@
     Report.Config = ConfigurationVersion(Router.Serves ? 1 : 0);
     Report.Limits = Router.Limits.report();
     Report.Demand = Router.Limits.ownDemand();
-    const std::string Bytes = encodeReport(Report);
+    // Receivers see what the encoding keeps; all of them decode the same.
+    Multicast Sent{{},
+                   Time.now() + Scenario.ReportDelay,
+                   valueOf(decodeReport(encodeReport(Report)))};
     for (unsigned To = 0; To < Scenario.Routers; ++To)
       if (To != Index && uniform() >= Scenario.ReportLoss &&
           (!Scenario.Reaches || Scenario.Reaches(Index, To, At)))
-        Datagrams.push_back({To, Time.now() + Scenario.ReportDelay, Bytes});
+        Sent.To.push_back(To);
+    Multicasts.push_back(std::move(Sent));
   }
 
   void deliver() {
-    while (!Datagrams.empty() && Datagrams.front().ArrivesAt <= Time.now()) {
-      const Datagram Next = std::move(Datagrams.front());
-      Datagrams.pop_front();
-      if (Routers[Next.To])
-        Routers[Next.To]->Peers.accept(valueOf(decodeReport(Next.Bytes)));
+    while (!Multicasts.empty() && Multicasts.front().ArrivesAt <= Time.now()) {
+      for (const unsigned To : Multicasts.front().To)
+        if (Routers[To])
+          Routers[To]->Peers.accept(Multicasts.front().Report);
+      Multicasts.pop_front();
     }
   }
 
@@ -235,12 +241,12 @@
   ManualClock Time;
   std::vector<RouterRecord> Fleet;
   std::vector<std::unique_ptr<SimulatedRouter>> Routers;
-  std::deque<Datagram> Datagrams;
+  std::deque<Multicast> Multicasts;
   std::vector<std::vector<TimePoint>> Starts;
 };
 
 } // namespace
 
 LimitOutcome simulateLimits(const LimitScenario &Scenario, std::uint64_t Seed) {
-  return Simulation(Scenario, Seed).run();
+  return LimitSimulation(Scenario, Seed).run();
 }
