Keep limits in the routers with policy cell

Cause: the routers did not read the field, and the owner of a cell counts slots in use, not starts.

Change: a response's limit goes to the directory of upstreams and, by the message limits, to the owner of the cell, on a change and every second; the owner grants by one RateAllowance for each upstream that fills at the whole limit, or at the covered part of it while it does not hear all registered routers. A new owner begins with empty allowances. A returned grant is given back.

Names that two sources of a library share are made distinct, for unity builds.

--- a/include/mallowglade/detail/dataplane/upstream_limits.hpp
+++ b/include/mallowglade/detail/dataplane/upstream_limits.hpp
@@ -97,8 +97,6 @@
   DemandTable ownDemand() const;
   std::size_t limitedCount() const { return Allowances.size(); }
 
-  /// Smallest limit that is followed; a lower one would never be found ended.
-  static constexpr RequestRate MinRate{0.1};
   /// Time after which the end of a limit is no longer reported.
   static constexpr std::chrono::seconds EndRetention{60};
   /// Time after which a limit that no response has named again is forgotten.
--- a/include/mallowglade/detail/router/cell_dispatcher.hpp
+++ b/include/mallowglade/detail/router/cell_dispatcher.hpp
@@ -66,6 +66,7 @@
   void onCompletion(const RouterId &From, const Completion &Done);
   void onGrantReturn(const RouterId &From, const GrantReturn &Back);
   void onGrant(const RouterId &From, const Grant &Offer);
+  void onLimits(const RouterId &From, const LimitNotice &Notice);
   void onAllotment(const RouterId &From, const Allotment &Rates);
 
   void listen();
@@ -78,6 +79,8 @@
   void applyMembers(PoolState &Pool);
   void applyReplicas();
   void applyReplicas(PoolState &Pool);
+  /// @brief Tells the owner of the cell what upstreams said of limits.
+  void reportLimits(PoolState &Pool);
   void changeOwner(PoolState &Pool, const RouterId &Owner);
   void tick();
   void runSoon();
--- a/include/mallowglade/detail/router/problem.hpp
+++ b/include/mallowglade/detail/router/problem.hpp
@@ -17,6 +17,9 @@
   Milliseconds RetryAfter{};
 };
 
+/// Status of a request without valid credentials (RFC 9110, 15.5.2).
+inline constexpr int UnauthorizedStatus = 401;
+
 /// @brief Chooses the HTTP status of an error.
 /// @return status code from 400 to 599
 int statusOf(ErrorId Id);
--- a/include/mallowglade/detail/router/upstream_call.hpp
+++ b/include/mallowglade/detail/router/upstream_call.hpp
@@ -2,6 +2,7 @@
 
 #include <mallowglade/core.hpp>
 #include <mallowglade/detail/router/dispatcher.hpp>
+#include <mallowglade/scheduling.hpp>
 
 #include <functional>
 #include <map>
@@ -26,6 +27,11 @@
   /// 503, or `X-Leaving: true`).
   bool Leaving = false;
   std::int64_t RetryAfterSeconds = 0;
+  /// Requests per second that the upstream takes from all routers together
+  /// (`Server-Limit`); nothing if it named no limit.
+  std::optional<RequestRate> Rate;
+  /// True if it named a limit that is no positive number.
+  bool RateUnreadable = false;
 };
 
 /// @brief Receives an upstream's reply, on the calling thread.
--- a/include/mallowglade/detail/router/upstream_service.hpp
+++ b/include/mallowglade/detail/router/upstream_service.hpp
@@ -22,6 +22,9 @@
   void markLeaving(const UpstreamId &Id) override;
   void markDown(const UpstreamId &Id) override;
   void pause(const UpstreamId &Id, Milliseconds Span) override;
+  void recordLimit(const UpstreamId &Id, std::optional<RequestRate> Rate,
+                   TimePoint SaidAt) override;
+  std::vector<LimitStatement> limits(const PoolId &Pool) const override;
   void onChange(std::function<void()> Changed) override;
   void start() override;
 
@@ -31,6 +34,8 @@
     bool Leaving = false;
     bool Down = false;
     TimePoint PausedUntil{};
+    /// Time of the latest statement on a limit; none if it is the earliest.
+    TimePoint LimitSaidAt{};
   };
   void refresh();
   void apply(const std::vector<Instance> &Instances);
--- a/include/mallowglade/detail/scheduling/messages.hpp
+++ b/include/mallowglade/detail/scheduling/messages.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <mallowglade/core.hpp>
+#include <mallowglade/detail/scheduling/rate_share.hpp>
 
 #include <cstdint>
 #include <optional>
@@ -142,6 +143,21 @@
   std::vector<Completion> Ended;
 };
 
+/// @brief What an upstream last said of the requests that it takes.
+struct LimitStatement {
+  UpstreamId Upstream;
+  /// Requests per second from all routers together; nothing if it no longer
+  /// names a limit.
+  std::optional<RequestRate> Rate;
+  Milliseconds Age{};
+};
+
+/// @brief Limits that upstreams of a cell named to a router, for the owner.
+struct LimitNotice {
+  CellId Cell;
+  std::vector<LimitStatement> Limits;
+};
+
 /// @brief Allotment of one workspace on one router.
 struct WorkspaceAllotment {
   WorkspaceId Workspace;
--- a/include/mallowglade/detail/scheduling/rate_share.hpp
+++ b/include/mallowglade/detail/scheduling/rate_share.hpp
@@ -12,6 +12,9 @@
 /// @brief Requests per second.
 using RequestRate = StrongNumber<struct RequestRateTag, double>;
 
+/// Smallest limit that is followed; a lower one would never be found ended.
+inline constexpr RequestRate MinRequestRate{0.1};
+
 /// @brief A router that takes part in the division of a rate.
 struct RateMember {
   RouterKey Key;
--- a/include/mallowglade/detail/scheduling/replica_table.hpp
+++ b/include/mallowglade/detail/scheduling/replica_table.hpp
@@ -21,6 +21,9 @@
   /// Running requests as last reported by the replica; out of date by up to
   /// two seconds.
   std::optional<std::uint32_t> Reported;
+  /// Requests per second that it takes from all routers together, if it named
+  /// a limit.
+  std::optional<RequestRate> Rate{};
 };
 
 /// @brief Part of the fleet that reports to a cell: k of n routers.
@@ -65,6 +68,10 @@
   /// Periods since the replica was first listed.
   std::uint32_t Periods = 0;
   bool Delisted = false;
+  /// Set while the replica names a limit.
+  std::optional<RateAllowance> Allowance;
+  /// False while the allowance holds less than a request.
+  bool MayStart = true;
   /// Time of the last placement of each prefix.
   std::unordered_map<std::uint64_t, TimePoint> Prefixes;
 
@@ -76,6 +83,12 @@
   void updateLostSlots();
   /// @return maximum number of requests that this cell may run on the replica
   std::uint32_t usable(const FleetCoverage &Coverage) const;
+  /// @return true if a request may be granted now
+  bool isFree(const FleetCoverage &Coverage) const {
+    return MayStart && InFlight < usable(Coverage);
+  }
+  /// @brief Fills the allowance up to now, or ends it with the limit.
+  void refill(const FleetCoverage &Coverage, TimePoint Now);
 };
 
 /// @brief Replicas of a cell: limits, load and placement.
@@ -93,6 +106,9 @@
   void setCoverage(const FleetCoverage &Updated);
   /// @return part of the fleet that reports to this cell
   const FleetCoverage &coverage() const { return Coverage; }
+  /// @brief Fills the allowances of replicas that name a limit; must be called
+  /// before each round of grants.
+  void refill(TimePoint Now);
   /// @brief Chooses a replica by prefix affinity, then load, then zone.
   /// @param Item the request
   /// @param RouterZone zone of the router that holds the request
@@ -106,6 +122,9 @@
   void adopt(const UpstreamId &Upstream);
   /// @brief Frees a slot.
   void release(const UpstreamId &Upstream);
+  /// @brief Returns a request to the allowance of a replica that did not get
+  /// it.
+  void giveBack(const UpstreamId &Upstream, TimePoint Now);
   /// @brief Counts a released slot of an unreachable router as possibly in use:
   /// behind a partition the router is alive and its request still runs.
   void markSlotLost(const UpstreamId &Upstream);
--- a/src/dataplane/upstream_limits.cpp
+++ b/src/dataplane/upstream_limits.cpp
@@ -191,7 +191,7 @@
   const auto Found = Statements.find(Process);
   if (Found == Statements.end() || !Found->second.Rate)
     return std::nullopt;
-  return std::max(MinRate, *Found->second.Rate);
+  return std::max(MinRequestRate, *Found->second.Rate);
 }
 
 std::optional<RequestRate>
--- a/src/router/attempt_run.cpp
+++ b/src/router/attempt_run.cpp
@@ -12,7 +12,7 @@
 
 namespace {
 
-constexpr Milliseconds ConnectTimeout{1'000};
+constexpr Milliseconds UpstreamConnectTimeout{1'000};
 constexpr Milliseconds ProgressPeriod{250};
 constexpr Milliseconds ProbeTimeout{500};
 /// A proxy accepts connections for an upstream that is gone, then closes them.
@@ -97,9 +97,19 @@
     Payload.Headers["Last-Event-ID"] = Current->Events.lastEventId();
   AttemptMeter Meter(Request.Pool, Payload.Body.size(), Context.Time);
   AttemptSink Sink(*Current->Target, Current->Events, Meter);
-  TimePoint LastReport = Context.Time.now();
+  const TimePoint SentAt = Context.Time.now();
+  TimePoint LastReport = SentAt;
   UpstreamReceiver Receiver;
-  Receiver.OnHead = [&](const UpstreamHead &Head) { Sink.onHead(Head); };
+  Receiver.OnHead = [&](const UpstreamHead &Head) {
+    Sink.onHead(Head);
+    // Told at once: a stream may go on for long.
+    if (Head.Rate)
+      Context.Control.post([Self = shared_from_this(), Where, Rate = Head.Rate,
+                            Now = Context.Time.now()] {
+        Self->Context.Services.find<UpstreamDirectory>(service_name::Upstreams)
+            ->recordLimit(Where.Upstream, Rate, Now);
+      });
+  };
   Receiver.OnBytes = [&](std::string_view Bytes) {
     Sink.onBytes(Bytes);
     if (Context.Time.now() - LastReport < ProgressPeriod)
@@ -116,8 +126,8 @@
   const Milliseconds Silence =
       Request.Streamed ? Request.Pool.GapLimit : Request.Pool.AnswerLimit;
   const AttemptEnd Raw =
-      callUpstream(Where.Address, Payload, {ConnectTimeout, Silence}, Receiver,
-                   &Current->Cancellation);
+      callUpstream(Where.Address, Payload, {UpstreamConnectTimeout, Silence},
+                   Receiver, &Current->Cancellation);
   AttemptEnd End = Sink.end(Raw);
   const bool Gone = isGone(End, Where.Address);
   // An upstream that went silent before it was gone may have lost its network;
@@ -126,9 +136,12 @@
     End = AttemptEnd::UpstreamCrashed;
   const bool Cut = End == AttemptEnd::ConnectionLost;
   Context.Control.post([Self = shared_from_this(), Current, Where, End, Gone,
-                        Cut, Head = Sink.head(), Progress = Meter.progress()] {
+                        Cut, SentAt, Head = Sink.head(),
+                        Progress = Meter.progress()] {
     const auto Upstreams =
         Self->Context.Services.find<UpstreamDirectory>(service_name::Upstreams);
+    if (Head.Status != 0 && !Head.Rate && !Head.RateUnreadable)
+      Upstreams->recordLimit(Where.Upstream, std::nullopt, SentAt);
     if (Head.Leaving)
       Upstreams->markLeaving(Where.Upstream);
     else if (Gone)
--- a/src/router/cell_dispatcher.cpp
+++ b/src/router/cell_dispatcher.cpp
@@ -4,7 +4,7 @@
 
 namespace {
 
-constexpr Milliseconds TickPeriod{20};
+constexpr Milliseconds CellTickPeriod{20};
 constexpr Milliseconds MeasurePeriod{1'000};
 constexpr Milliseconds SoonDelay{5};
 constexpr Milliseconds RetryLater{1'000};
@@ -18,6 +18,7 @@
 constexpr const char *GrantReturn = "grant_return";
 constexpr const char *Grant = "grant";
 constexpr const char *Allotment = "allotment";
+constexpr const char *Limits = "limits";
 } // namespace message_type
 
 GrantEnd grantEndOf(AttemptEnd End) {
@@ -54,10 +55,11 @@
   handle(message_type::GrantReturn, &CellDispatcher::onGrantReturn);
   handle(message_type::Grant, &CellDispatcher::onGrant);
   handle(message_type::Allotment, &CellDispatcher::onAllotment);
+  handle(message_type::Limits, &CellDispatcher::onLimits);
   listen();
   applySettings();
   const auto Self = shared_from_this();
-  Context.Control.postEvery(TickPeriod, [Self] { Self->tick(); });
+  Context.Control.postEvery(CellTickPeriod, [Self] { Self->tick(); });
   Context.Control.postEvery(MeasurePeriod, [Self] { Self->measure(); });
 }
 
@@ -306,6 +308,21 @@
   Found.mapped().Done(Where);
 }
 
+void CellDispatcher::onLimits(const RouterId &, const LimitNotice &Notice) {
+  const TimePoint Now = Context.Time.now();
+  for (const LimitStatement &Said : Notice.Limits)
+    Upstreams->recordLimit(Said.Upstream, Said.Rate, Now - Said.Age);
+}
+
+void CellDispatcher::reportLimits(PoolState &Pool) {
+  if (Pool.Owner == Members->self().Id)
+    return;
+  LimitNotice Notice{CellId(Pool.Settings.Id.Value),
+                     Upstreams->limits(Pool.Settings.Id)};
+  if (!Notice.Limits.empty())
+    send(Pool.Owner, message_type::Limits, Notice);
+}
+
 void CellDispatcher::onAllotment(const RouterId &, const Allotment &Rates) {
   if (PoolState *Pool = poolOf(Rates.Cell))
     Pool->Queue.receive(Rates, Context.Time.now());
--- a/src/router/cell_inputs.cpp
+++ b/src/router/cell_inputs.cpp
@@ -93,11 +93,14 @@
         std::make_unique<Cell>(cellSettingsOf(Pool.Settings),
                                static_cast<std::uint32_t>(Random.next()),
                                Context.Time.now(), Guard.get());
+  reportLimits(Pool);
 }
 
 void CellDispatcher::applyReplicas() {
-  for (auto &[Id, Pool] : Pools)
+  for (auto &[Id, Pool] : Pools) {
     applyReplicas(Pool);
+    reportLimits(Pool);
+  }
 }
 
 void CellDispatcher::applyReplicas(PoolState &Pool) {
@@ -106,7 +109,7 @@
   std::vector<ReplicaInfo> List;
   for (const Upstream &Known : Upstreams->available(Pool.Settings.Id))
     List.push_back({Known.Id, Known.Address, Known.Zone, Known.MaxInFlight,
-                    Loads->runningOn(Known.Id)});
+                    Loads->runningOn(Known.Id), Known.Rate});
   Pool.OwnedCell->setReplicas(List);
 }
 
--- a/src/router/cell_status.cpp
+++ b/src/router/cell_status.cpp
@@ -1,6 +1,7 @@
 #include <mallowglade/detail/router/cell_dispatcher.hpp>
 
 #include <mallowglade/detail/router/operator_key.hpp>
+#include <mallowglade/detail/router/problem.hpp>
 
 #include <nlohmann/json.hpp>
 
@@ -11,7 +12,6 @@
 namespace {
 
 constexpr std::chrono::seconds StatusTimeout{2};
-constexpr int Unauthorized = 401;
 constexpr int ServiceUnavailable = 503;
 
 AdminReply failure(int Status, ErrorId Id, const std::string &Detail) {
@@ -69,7 +69,7 @@
   Routes.add("GET", "/admin/cells",
              [Self = shared_from_this()](const AdminRequest &Call) {
                if (!isOperatorKey(Self->Context, Call.Key))
-                 return failure(Unauthorized, ErrorId::Unauthenticated,
+                 return failure(UnauthorizedStatus, ErrorId::Unauthenticated,
                                 "an operator's key is required");
                const auto Text = std::make_shared<std::promise<std::string>>();
                auto Ready = Text->get_future();
@@ -119,6 +119,8 @@
             ? 0
             : Status.InFlight / static_cast<double>(Status.Capacity);
     Gauges.set("mallowglade_cell_utilisation_ratio", Labels, Utilisation);
+    // Repeated, as the owner may have changed or missed a notice.
+    reportLimits(Pool);
     if (Pool.OwnedCell == nullptr)
       continue;
     Loads->poll(Upstreams->available(Id));
--- a/src/router/upstream_call.cpp
+++ b/src/router/upstream_call.cpp
@@ -4,12 +4,37 @@
 
 #include <httplib.h>
 
+#include <charconv>
+#include <cmath>
+
 namespace mallowglade {
 
 namespace {
 
 constexpr int ServiceUnavailable = 503;
 
+constexpr const char *LimitHeader = "Server-Limit";
+
+/// Reads the limit of a response. A field that is no positive number, or fields
+/// that disagree, say nothing.
+void parseLimit(const httplib::Response &Response, UpstreamHead &Head) {
+  for (std::size_t Index = 0;
+       Index < Response.get_header_value_count(LimitHeader); ++Index) {
+    const std::string Text = Response.get_header_value(LimitHeader, Index);
+    double Value = 0;
+    const char *const End = Text.data() + Text.size();
+    const auto [Rest, Failure] = std::from_chars(Text.data(), End, Value);
+    const bool Readable = Failure == std::errc() && Rest == End &&
+                          std::isfinite(Value) && Value > 0;
+    if (!Readable || (Head.Rate && Head.Rate->Value != Value))
+      Head.RateUnreadable = true;
+    else
+      Head.Rate = RequestRate(Value);
+  }
+  if (Head.RateUnreadable)
+    Head.Rate.reset();
+}
+
 UpstreamHead parseHead(const httplib::Response &Response) {
   UpstreamHead Head;
   Head.Status = Response.status;
@@ -17,6 +42,7 @@
   Head.Leaving = Response.get_header_value("X-Leaving") == "true";
   Head.RetryAfterSeconds = std::strtoll(
       Response.get_header_value("Retry-After").c_str(), nullptr, 10);
+  parseLimit(Response, Head);
   return Head;
 }
 
--- a/src/router/upstream_service.cpp
+++ b/src/router/upstream_service.cpp
@@ -64,6 +64,37 @@
     probe(Id);
 }
 
+void UpstreamService::recordLimit(const UpstreamId &Id,
+                                  std::optional<RequestRate> Rate,
+                                  TimePoint SaidAt) {
+  const auto Found = Entries.find(Id);
+  if (Found == Entries.end())
+    return;
+  Entry &Known = Found->second;
+  if (SaidAt <= Known.LimitSaidAt || (!Rate && !Known.Info.Rate))
+    return;
+  Known.LimitSaidAt = SaidAt;
+  if (Known.Info.Rate == Rate)
+    return;
+  if (Known.Info.Rate.has_value() != Rate.has_value())
+    Context.Log.info(Rate ? "upstream names a limit"
+                          : "upstream no longer names a limit",
+                     {{"upstream", Id.Value},
+                      {"per_second", std::to_string(Rate ? Rate->Value : 0)}});
+  Known.Info.Rate = Rate;
+  notify();
+}
+
+std::vector<LimitStatement> UpstreamService::limits(const PoolId &Pool) const {
+  std::vector<LimitStatement> List;
+  for (const auto &[Id, Known] : Entries)
+    if (Known.Info.Pool == Pool && Known.LimitSaidAt != TimePoint{})
+      List.push_back({Id, Known.Info.Rate,
+                      std::chrono::ceil<Milliseconds>(Context.Time.now() -
+                                                      Known.LimitSaidAt)});
+  return List;
+}
+
 void UpstreamService::onChange(std::function<void()> Changed) {
   Listeners.push_back(std::move(Changed));
 }
--- a/src/scheduling/cell.cpp
+++ b/src/scheduling/cell.cpp
@@ -115,6 +115,7 @@
   requestFullReports(Actions);
   if (ready(Now)) {
     finishRebuild();
+    Replicas.refill(Now);
     while (grantNext(Now, Actions)) {
     }
   }
--- a/src/scheduling/cell_accounts.cpp
+++ b/src/scheduling/cell_accounts.cpp
@@ -93,6 +93,7 @@
       Found->second.Acknowledged)
     return;
   ++Counters.Returned;
+  Replicas.giveBack(Found->second.Upstream, Now);
   settleGrant(Returned.Grant, 0, GrantEnd::NotRun, Now);
 }
 
--- a/src/scheduling/replica_table.cpp
+++ b/src/scheduling/replica_table.cpp
@@ -62,6 +62,25 @@
   return std::min(Coverage.scaled(FullLimit), FullLimit - Others);
 }
 
+void Replica::refill(const FleetCoverage &Coverage, TimePoint Now) {
+  MayStart = true;
+  if (!Info.Rate) {
+    Allowance.reset();
+    return;
+  }
+  // Empty at first: the routers, or a former owner of the cell, may just have
+  // used what they had.
+  if (!Allowance)
+    Allowance.emplace(0.0, Now);
+  const double Covered =
+      std::min(1.0, static_cast<double>(Coverage.Heard) /
+                        static_cast<double>(Coverage.Registered));
+  Allowance->setShare(
+      RequestRate(std::max(MinRequestRate.Value, Info.Rate->Value) * Covered),
+      Now);
+  MayStart = Allowance->startableFrom(Now) <= Now;
+}
+
 ReplicaTable::ReplicaTable(const LimitSettings &Settings)
     : Settings(Settings) {}
 
@@ -123,7 +142,7 @@
   Replica *Best = nullptr;
   Replica *BestAvoided = nullptr;
   for (auto &[Id, Candidate] : Replicas) {
-    if (Candidate.InFlight >= Candidate.usable(Coverage))
+    if (!Candidate.isFree(Coverage))
       continue;
     if (Guard != nullptr && !Guard->mayPlace(Item.RequestFingerprint, Id))
       continue;
@@ -140,6 +159,10 @@
 void ReplicaTable::acquire(Replica &Target, std::uint64_t PrefixHash,
                            TimePoint Now) {
   ++Target.InFlight;
+  if (Target.Allowance) {
+    Target.Allowance->take(Now);
+    Target.MayStart = Target.Allowance->startableFrom(Now) <= Now;
+  }
   Target.RecentMaxInFlight =
       std::max(Target.RecentMaxInFlight, Target.InFlight);
   if (PrefixHash == 0)
@@ -174,6 +197,17 @@
   --Entry.InFlight;
 }
 
+void ReplicaTable::refill(TimePoint Now) {
+  for (auto &[Id, Entry] : Replicas)
+    Entry.refill(Coverage, Now);
+}
+
+void ReplicaTable::giveBack(const UpstreamId &Upstream, TimePoint Now) {
+  const auto Found = Replicas.find(Upstream);
+  if (Found != Replicas.end() && Found->second.Allowance)
+    Found->second.Allowance->giveBack(Now);
+}
+
 void ReplicaTable::setCoverage(const FleetCoverage &Updated) {
   Coverage = Updated;
   if (!Coverage.complete())
@@ -260,9 +294,8 @@
 
 bool ReplicaTable::hasFreeSlot() const {
   return std::any_of(
-      Replicas.begin(), Replicas.end(), [this](const auto &Entry) {
-        return Entry.second.InFlight < Entry.second.usable(Coverage);
-      });
+      Replicas.begin(), Replicas.end(),
+      [this](const auto &Entry) { return Entry.second.isFree(Coverage); });
 }
 
 } // namespace mallowglade
--- a/src/scheduling/wire.cpp
+++ b/src/scheduling/wire.cpp
@@ -44,6 +44,12 @@
 template <class V> void visit(V &Visitor, Progress &M) {
   Visitor(M.Cell, M.Session, M.Sequence, M.Grants, M.Ended);
 }
+template <class V> void visit(V &Visitor, LimitStatement &M) {
+  Visitor(M.Upstream, M.Rate, M.Age);
+}
+template <class V> void visit(V &Visitor, LimitNotice &M) {
+  Visitor(M.Cell, M.Limits);
+}
 template <class V> void visit(V &Visitor, WorkspaceAllotment &M) {
   Visitor(M.Workspace, M.Fraction, M.Lag);
 }
@@ -187,11 +193,13 @@
 template std::string encode(const Progress &);
 template std::string encode(const Completion &);
 template std::string encode(const Allotment &);
+template std::string encode(const LimitNotice &);
 template Result<DemandReport> decode(std::string_view);
 template Result<Grant> decode(std::string_view);
 template Result<GrantReturn> decode(std::string_view);
 template Result<Progress> decode(std::string_view);
 template Result<Completion> decode(std::string_view);
 template Result<Allotment> decode(std::string_view);
+template Result<LimitNotice> decode(std::string_view);
 
 } // namespace mallowglade
--- a/tests/unit-scheduling-cell.cpp
+++ b/tests/unit-scheduling-cell.cpp
@@ -71,11 +71,16 @@
   CPPUNIT_TEST(guardFiltersAndObservesPlacements);
   CPPUNIT_TEST(repeatedAndStaleGrantsAreNotDispatched);
   CPPUNIT_TEST(newOwnerWaitsForReportsAndKeepsOrder);
+  CPPUNIT_TEST(limitOfAReplicaHoldsAndIsUsed);
+  CPPUNIT_TEST(limitDoesNotHoldBackOtherReplicas);
+  CPPUNIT_TEST(newOwnerDoesNotSpendALimitAgain);
+  CPPUNIT_TEST(limitIsSplitAcrossAPartition);
   CPPUNIT_TEST(grantOfTheFormerOwnerIsFound);
   CPPUNIT_TEST(lateReportDoesNotReviveEndedGrant);
   CPPUNIT_TEST(partitionSidesNeverExceedLimit);
   CPPUNIT_TEST(limitAdaptsToTokenTimes);
   CPPUNIT_TEST(wireFormatPreservesAllFields);
+  CPPUNIT_TEST(limitNoticeKeepsTheEndOfALimit);
   CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -253,6 +258,17 @@
 
   // Guards against fields that are missing or swapped on the wire, and against
   // accepting, or crashing on, arbitrary bytes.
+  void limitNoticeKeepsTheEndOfALimit() {
+    const LimitNotice Sent{
+        CellId("c"),
+        {{UpstreamId("u0"), RequestRate(2.5), Milliseconds(40)},
+         {UpstreamId("u1"), std::nullopt, Milliseconds(900)}}};
+    const LimitNotice Received = valueOf(decode<LimitNotice>(encode(Sent)));
+    CPPUNIT_ASSERT(Received.Limits[0].Rate == RequestRate(2.5));
+    CPPUNIT_ASSERT(!Received.Limits[1].Rate);
+    CPPUNIT_ASSERT(Received.Limits[1].Age == Milliseconds(900));
+  }
+
   void wireFormatPreservesAllFields() {
     DemandReport Report = reportOf(3, {itemOf(1, 9)});
     Report.Workspaces[0].Lag = 2.5;
@@ -279,6 +295,51 @@
     }));
   }
 
+  // Guards against grants beyond the requests per second that a replica takes,
+  // and against a limit that is left unused.
+  void limitOfAReplicaHoldsAndIsUsed() {
+    for (const double Rate : {0.5, 2.0, 20.0}) {
+      TestedCell = makeCell(nullptr, Slots);
+      nameLimits(RequestRate(Rate), RequestRate(Rate));
+      const std::size_t Granted = grantsDuring(Milliseconds(20'000));
+      CPPUNIT_ASSERT(static_cast<double>(Granted) >= 2 * 0.9 * 20 * Rate - 2);
+      CPPUNIT_ASSERT(static_cast<double>(Granted) <= 2 * (20 * Rate + 1));
+    }
+  }
+
+  // Guards against requests that wait for a limited replica while another is
+  // free, and against a limit that outlives its last response.
+  void limitDoesNotHoldBackOtherReplicas() {
+    TestedCell = makeCell(nullptr, Slots);
+    nameLimits(RequestRate(1), std::nullopt);
+    // Four new requests in each of ten ticks.
+    constexpr std::size_t All = 40;
+    CPPUNIT_ASSERT_EQUAL(All, grantsDuring(Milliseconds(200)));
+    nameLimits(std::nullopt, std::nullopt);
+    CPPUNIT_ASSERT_EQUAL(All, grantsDuring(Milliseconds(200)));
+  }
+
+  // Guards against an owner that grants at once what the former one has.
+  void newOwnerDoesNotSpendALimitAgain() {
+    std::size_t Granted = 0;
+    for (int Owner = 0; Owner < 4; ++Owner) {
+      TestedCell = makeCell(nullptr, Slots);
+      nameLimits(RequestRate(1), RequestRate(1));
+      Granted += grantsDuring(Milliseconds(1'000));
+    }
+    // Two replicas in four seconds.
+    CPPUNIT_ASSERT_LESSEQUAL(std::size_t{2 * 4}, Granted);
+  }
+
+  // Guards against two sides of a partition that each use the whole limit.
+  void limitIsSplitAcrossAPartition() {
+    TestedCell = makeCell(nullptr, Slots);
+    TestedCell->setMembers({{Near, ZoneId("z")}}, 2, Now);
+    nameLimits(RequestRate(4), RequestRate(4));
+    const std::size_t Granted = grantsDuring(Milliseconds(10'000));
+    CPPUNIT_ASSERT_LESSEQUAL(std::size_t{2 * (10 * 2 + 1)}, Granted);
+  }
+
 private:
   std::unique_ptr<Cell> makeCell(PlacementGuard *Guard, std::uint32_t Slots,
                                  const std::vector<RouterId> &Routers = {
@@ -298,11 +359,44 @@
     return Result;
   }
 
+  static constexpr std::uint32_t Slots = 64;
+
+  void nameLimits(std::optional<RequestRate> First,
+                  std::optional<RequestRate> Second) {
+    TestedCell->setReplicas(
+        {{UpstreamId("u0"), "a0", ZoneId("z"), Slots, {}, First},
+         {UpstreamId("u1"), "a1", ZoneId("z"), Slots, {}, Second}});
+  }
+
+  /// Counts the grants of a time in which a request always waits and each one
+  /// granted ends at once.
+  std::size_t grantsDuring(Milliseconds Span) {
+    constexpr Milliseconds Tick{20};
+    std::size_t Count = 0;
+    for (Milliseconds At{0}; At < Span; At += Tick, Now += Tick) {
+      ++ReportNumber;
+      std::vector<QueuedItem> Items;
+      for (std::uint64_t Number = 0; Number < 4; ++Number)
+        Items.push_back(itemOf(4 * ReportNumber + Number));
+      TestedCell->receive(Near, reportOf(ReportNumber, Items), Now);
+      for (const Grant &Granted : grantsIn(TestedCell->decide(Now))) {
+        ++Count;
+        Completion Done;
+        Done.Cell = CellId("c");
+        Done.Grant = Granted.Id;
+        Done.Upstream = Granted.Upstream;
+        TestedCell->receive(Near, Done, Now);
+      }
+    }
+    return Count;
+  }
+
   static ReturnReason reasonOf(const GrantOutcome &Outcome) {
     return std::get<GrantReturn>(Outcome).Reason;
   }
 
   TimePoint Now{std::chrono::hours(1)};
+  std::uint64_t ReportNumber = 0;
   std::unique_ptr<Cell> TestedCell;
 };
 
