Tell callers the true time when limits hold them back

Cause: Retry-After of upstreams_limited was cut at 2 s, so a caller of an upstream that takes a request every five seconds came back too early, and its test checked that constant.

Change: the time follows from this router's share, up to 30 s; 2 s stay for a router without a share, which may get one at the next division. The test asks for the time itself: a request a second earlier is refused, one then is served; it failed before (2.00).

--- a/src/dataplane/admission.cpp
+++ b/src/dataplane/admission.cpp
@@ -19,9 +19,11 @@
 constexpr double MinRetryAfterFraction = 0.2;
 constexpr double RetryJitterFraction = 0.3;
 constexpr Milliseconds RetryAfterWhileStopping{50};
-/// Longest wait for a share of limited upstreams that is told to a caller; the
-/// routers divide limits anew meanwhile.
-constexpr Milliseconds MaxLimitWait{2'000};
+/// Wait that is told to a caller while this router has no share of the limited
+/// upstreams; the routers divide limits anew meanwhile.
+constexpr Milliseconds WaitWithoutShare{2'000};
+/// Longest wait for limited upstreams that is told to a caller.
+constexpr Milliseconds MaxLimitWait{30'000};
 
 } // namespace
 
@@ -127,7 +129,7 @@
       return true;
     }
     Request.refuse(Refusal::UpstreamsLimited,
-                   limitRetryAfter(Request, MaxLimitWait));
+                   limitRetryAfter(Request, WaitWithoutShare));
     return true;
   }
   const std::chrono::duration<double> Wait =
--- a/tests/unit-dataplane-upstream-limits.cpp
+++ b/tests/unit-dataplane-upstream-limits.cpp
@@ -27,6 +27,24 @@
   return platform::PlatformWire().readResponse(Head);
 }
 
+/// Seconds that a refusal names.
+double retryAfter(const std::string &Response) {
+  const std::string Field = "Retry-After: ";
+  const std::size_t At = Response.find(Field);
+  return At == std::string::npos
+             ? -1
+             : std::stod(Response.substr(At + Field.size()));
+}
+
+/// Sends a request after a time, in seconds, and returns the response.
+std::string statusAfter(Harness &H, double Seconds, const std::string &Id) {
+  H.runFor(std::chrono::milliseconds(static_cast<int>(Seconds * 1'000)));
+  const std::size_t Caller = H.connect();
+  H.sendAsCaller(Caller, Harness::callerRequest("GET", "/safe/x", Id));
+  H.runFor(std::chrono::milliseconds(300));
+  return H.received(Caller);
+}
+
 } // namespace
 
 class UpstreamLimitsTest : public CppUnit::TestFixture {
@@ -72,8 +90,11 @@
       H.runFor(std::chrono::milliseconds(100));
     }
     CPPUNIT_ASSERT(H.received(Caller).starts_with("HTTP/1.1 503"));
-    CPPUNIT_ASSERT(H.received(Caller).find("Retry-After: 2.00") !=
-                   std::string::npos);
+    // One request in five seconds, less what the allowance holds.
+    const double Wait = retryAfter(H.received(Caller));
+    CPPUNIT_ASSERT_MESSAGE(H.received(Caller), Wait > 2 && Wait <= 5);
+    CPPUNIT_ASSERT(statusAfter(H, Wait - 1, "b").starts_with("HTTP/1.1 503"));
+    CPPUNIT_ASSERT(statusAfter(H, 1, "c").starts_with("HTTP/1.1 200"));
   }
 
   // Guards against values that are no limit, and against taking them for none.
