--- a/src/http1/server_connection.cpp
+++ b/src/http1/server_connection.cpp
@@ -12,7 +12,7 @@
 
 namespace {
 
-constexpr std::size_t ReadBytes = 16'384;
+constexpr std::size_t RequestReadBytes = 16'384;
 /// Number of unsent bytes at or below which a paused producer is resumed.
 constexpr std::size_t LowWaterBytes = 16'384;
 /// Maximum number of pipelined bytes read while a request is being processed.
@@ -137,7 +137,7 @@
                         Self->close();
                         return;
                       }
-                      std::array<char, ReadBytes> Bytes;
+                      std::array<char, RequestReadBytes> Bytes;
                       std::error_code ReadError;
                       const std::size_t Size = Self->Socket.read_some(
                           asio::buffer(Bytes), ReadError);
--- a/src/http1/upstream_connection.cpp
+++ b/src/http1/upstream_connection.cpp
@@ -12,7 +12,7 @@
 
 namespace {
 
-constexpr std::size_t ReadBytes = 16'384;
+constexpr std::size_t ResponseReadBytes = 16'384;
 constexpr std::size_t MaxHeadBytes = 16'384;
 constexpr unsigned FirstFinalStatus = 200;
 /// Bytes of a response that may be no part of its body: heads, responses to
@@ -154,7 +154,7 @@
 }
 
 void UpstreamConnection::onReadable(std::error_code Error) {
-  std::array<char, ReadBytes> Bytes;
+  std::array<char, ResponseReadBytes> Bytes;
   std::size_t Size = 0;
   if (!Error)
     Size = Socket.read_some(asio::buffer(Bytes), Error);
--- a/src/outcomes/claim_requester.cpp
+++ b/src/outcomes/claim_requester.cpp
@@ -17,7 +17,7 @@
 /// Finished claims are kept to handle delayed messages; longer delays are not
 /// expected.
 constexpr std::chrono::minutes FinishedRetention{10};
-constexpr Milliseconds RefusalRetryAfter{2'000};
+constexpr Milliseconds TimeoutRetryAfter{2'000};
 
 } // namespace
 
@@ -64,7 +64,7 @@
   if (Late && Message.Kind == ClaimAnswerKind::Granted) {
     Message.Kind = ClaimAnswerKind::Refused;
     Message.Confirmed = true;
-    Message.RetryAfter = RefusalRetryAfter;
+    Message.RetryAfter = TimeoutRetryAfter;
   }
   if (Message.Kind == ClaimAnswerKind::Granted) {
     Claim.CurrentStage = Stage::Running;
@@ -140,7 +140,7 @@
       ClaimAnswer TimeoutAnswer;
       TimeoutAnswer.Token = Claim.Request.Requester.Token;
       TimeoutAnswer.Kind = ClaimAnswerKind::Refused;
-      TimeoutAnswer.RetryAfter = RefusalRetryAfter;
+      TimeoutAnswer.RetryAfter = TimeoutRetryAfter;
       handleDecision(Claim, TimeoutAnswer, Now);
     } else if (Now >= Claim.NextSend) {
       Claim.NextSend = Now + RequestRetryDelay;
--- a/src/router/answer_fetch.cpp
+++ b/src/router/answer_fetch.cpp
@@ -1,5 +1,6 @@
 #include <mallowglade/detail/router/answer_fetch.hpp>
 
+#include <mallowglade/detail/router/problem.hpp>
 #include <mallowglade/http1.hpp>
 #include <mallowglade/settings.hpp>
 
@@ -9,10 +10,9 @@
 
 namespace {
 
-constexpr Milliseconds ConnectTimeout{1'000};
+constexpr Milliseconds FetchConnectTimeout{1'000};
 /// After this silence the caller checks whether the holder still lives.
 constexpr Milliseconds SilenceLimit{10'000};
-constexpr int Unauthorized = 401;
 constexpr int NotFound = 404;
 constexpr int AnswerGoneStatus = 410;
 
@@ -45,7 +45,7 @@
       Result.End = FetchEnd::Ended;
       return Result;
     }
-    const bool Missing = Head.Status == Unauthorized ||
+    const bool Missing = Head.Status == UnauthorizedStatus ||
                          Head.Status == NotFound ||
                          Head.Status == AnswerGoneStatus;
     if (!Complete || Events.insideEvent())
@@ -99,7 +99,7 @@
                         CallCancellation &Cancellation) {
   const HostPort Address = splitAddress(Wanted.Address);
   httplib::Client Client(Address.Host, Address.Port);
-  Client.set_connection_timeout(ConnectTimeout);
+  Client.set_connection_timeout(FetchConnectTimeout);
   Client.set_read_timeout(SilenceLimit);
   Client.set_tcp_nodelay(true);
   Client.set_decompress(false);
--- a/src/router/gossip_member_service.cpp
+++ b/src/router/gossip_member_service.cpp
@@ -4,7 +4,7 @@
 
 namespace {
 
-constexpr Milliseconds TickPeriod{100};
+constexpr Milliseconds GossipTickPeriod{100};
 constexpr Milliseconds ExportPeriod{1'000};
 
 constexpr const char *ProbeType = "probe";
@@ -106,7 +106,7 @@
         Self->Known.setListed(std::move(Routers));
         Self->updateSeeds();
       });
-  Context.Control.postEvery(TickPeriod, [Self] { Self->tick(); });
+  Context.Control.postEvery(GossipTickPeriod, [Self] { Self->tick(); });
   Context.Control.postEvery(ExportPeriod, [Self] { Self->exportMetrics(); });
 }
 
--- a/src/router/keyed_claim_service.cpp
+++ b/src/router/keyed_claim_service.cpp
@@ -6,7 +6,7 @@
 
 namespace {
 
-constexpr Milliseconds TickPeriod{10};
+constexpr Milliseconds ClaimTickPeriod{10};
 constexpr std::size_t StoreThreads = 4;
 constexpr const char *RequestType = "claim_request";
 constexpr const char *AnswerType = "claim_reply";
@@ -28,7 +28,7 @@
 
 void KeyedClaimService::start() {
   listen();
-  Context.Control.postEvery(TickPeriod,
+  Context.Control.postEvery(ClaimTickPeriod,
                             [Part = shared_from_this()] { Part->tick(); });
   Context.Services.find<MemberService>(service_name::Members)
       ->onChange([Part = shared_from_this()] { Part->updateOwnership(); });
--- a/src/router/member_view.cpp
+++ b/src/router/member_view.cpp
@@ -1,6 +1,7 @@
 #include <mallowglade/detail/router/gossip_member_service.hpp>
 
 #include <mallowglade/detail/router/operator_key.hpp>
+#include <mallowglade/detail/router/problem.hpp>
 
 #include <nlohmann/json.hpp>
 
@@ -11,7 +12,6 @@
 namespace {
 
 constexpr std::chrono::seconds ViewTimeout{2};
-constexpr int Unauthorized = 401;
 constexpr int ServiceUnavailable = 503;
 
 AdminReply makeFailure(int Status, ErrorId Id, const std::string &Detail) {
@@ -36,7 +36,8 @@
   Routes.add("GET", "/admin/members",
              [Self = shared_from_this()](const AdminRequest &Call) {
                if (!isOperatorKey(Self->Context, Call.Key))
-                 return makeFailure(Unauthorized, ErrorId::Unauthenticated,
+                 return makeFailure(UnauthorizedStatus,
+                                    ErrorId::Unauthenticated,
                                     "an operator's key is required");
                const auto Text = std::make_shared<std::promise<std::string>>();
                auto Ready = Text->get_future();
--- a/src/router/quarantine_service.cpp
+++ b/src/router/quarantine_service.cpp
@@ -18,7 +18,7 @@
 
 constexpr const char *MessageType = "quarantine";
 constexpr const char *ReportType = "crash-report";
-constexpr Milliseconds TickPeriod{250};
+constexpr Milliseconds QuarantineTickPeriod{250};
 /// New routers and those that missed a message learn the records by then.
 constexpr Milliseconds RepeatPeriod{10'000};
 constexpr Milliseconds AdminTimeout{2'000};
@@ -137,7 +137,7 @@
           if (const auto Report = decodeCrashReport(Body))
             Part->Attribution.merge(*Report);
         });
-  Context.Control.postEvery(TickPeriod,
+  Context.Control.postEvery(QuarantineTickPeriod,
                             [Part = shared_from_this()] { Part->tick(); });
 }
 
--- a/src/router/tree_settings.cpp
+++ b/src/router/tree_settings.cpp
@@ -10,7 +10,7 @@
 
 namespace {
 
-constexpr Milliseconds TickPeriod{100};
+constexpr Milliseconds SettingsTickPeriod{100};
 /// A planned stop waits for a running watch, so a watch is kept short.
 constexpr Milliseconds WatchLimit{5'000};
 
@@ -57,7 +57,7 @@
       ->onChange([Self = shared_from_this()] { Self->updateMembers(); });
   updateMembers();
   Replica.start(now());
-  Context.Control.postEvery(TickPeriod, [Self = shared_from_this()] {
+  Context.Control.postEvery(SettingsTickPeriod, [Self = shared_from_this()] {
     Self->perform(Self->Replica.tick(Self->now()));
   });
 }
--- a/tests/integration/fleet.cpp
+++ b/tests/integration/fleet.cpp
@@ -27,7 +27,6 @@
 constexpr int ControlPort = 7000;
 constexpr int FirstRoutePort = 7001;
 constexpr int OctetRange = 254;
-constexpr int SignalBase = 128;
 
 std::string binary(const std::string &Name) {
   const char *Directory = std::getenv("MALLOWGLADE_BIN_DIR");
--- a/tests/support/crash_simulation.cpp
+++ b/tests/support/crash_simulation.cpp
@@ -8,7 +8,7 @@
 
 namespace {
 
-constexpr Milliseconds Step{10};
+constexpr Milliseconds CrashStep{10};
 constexpr Milliseconds ReportPeriod{100};
 constexpr Milliseconds RestartTime{3'000};
 /// Time from the beginning of a harmful run to the crash.
@@ -22,17 +22,17 @@
 constexpr std::uint64_t FirstSession = 1'000;
 constexpr std::uint64_t FirstHarmful = 1'000'000;
 
-class Simulation {
+class CrashSimulation {
 public:
-  Simulation(const CrashScenario &Scenario, std::uint64_t Seed)
+  CrashSimulation(const CrashScenario &Scenario, std::uint64_t Seed)
       : Scenario(Scenario), Random(Seed), DownUntil(Scenario.Upstreams),
         Generation(Scenario.Upstreams) {
     startRouters();
   }
 
   CrashOutcome run() {
-    for (Milliseconds At{0}; At < Scenario.Duration; At += Step) {
-      Time.advance(Step);
+    for (Milliseconds At{0}; At < Scenario.Duration; At += CrashStep) {
+      Time.advance(CrashStep);
       if (Scenario.RestartAt.count() > 0 && At == Scenario.RestartAt)
         startRouters();
       if (At == Milliseconds(5'000) && Scenario.OutageShare > 0)
@@ -101,7 +101,7 @@
   }
 
   void arrivals() {
-    const double Seconds = std::chrono::duration<double>(Step).count();
+    const double Seconds = std::chrono::duration<double>(CrashStep).count();
     for (std::size_t Left = drawCount(Scenario.SoundRate * Seconds); Left > 0;
          --Left)
       send(0);
@@ -218,5 +218,5 @@
 
 CrashOutcome simulateCrashes(const CrashScenario &Scenario,
                              std::uint64_t Seed) {
-  return Simulation(Scenario, Seed).run();
+  return CrashSimulation(Scenario, Seed).run();
 }
--- a/tests/support/scheduling_fleet.cpp
+++ b/tests/support/scheduling_fleet.cpp
@@ -6,9 +6,9 @@
 
 namespace {
 
-constexpr Milliseconds Step{10};
+constexpr Milliseconds TickLength{10};
 constexpr Milliseconds LoadPeriod{1'000};
-constexpr double StepSeconds = 0.01;
+constexpr double TickSeconds = 0.01;
 constexpr int SessionBits = 16;
 constexpr std::uint64_t Percent = 100;
 
@@ -54,14 +54,14 @@
 }
 
 void SimulatedFleet::step() {
-  Now += Step;
+  Now += TickLength;
   if (NextViewUpdate && Now >= *NextViewUpdate) {
     NextViewUpdate.reset();
     VisibleGroups = Groups;
     updateViews();
   }
   deliverDue();
-  serve(StepSeconds);
+  serve(TickSeconds);
   supply();
   reportDemand();
   reportLoads();
