--- a/tests/support/limit_simulation.cpp
+++ b/tests/support/limit_simulation.cpp
@@ -81,7 +81,7 @@
     for (Milliseconds At{0}; At < Scenario.Duration; At += LimitStep) {
       for (unsigned Index = 0; Index < Scenario.Routers; ++Index)
         step(Index, At);
-      deliver();
+      deliver(At);
       Time.advance(LimitStep);
     }
     return outcome(Begin);
@@ -106,6 +106,8 @@
       Router.reset();
       return;
     }
+    if (frozen(Index, At))
+      return;
     const TimePoint Now = Time.now();
     if (!Router) {
       Router = std::make_unique<SimulatedRouter>(
@@ -197,10 +199,14 @@
     Multicasts.push_back(std::move(Sent));
   }
 
-  void deliver() {
+  bool frozen(unsigned Router, Milliseconds At) const {
+    return Scenario.Freezes && Scenario.Freezes(Router, At);
+  }
+
+  void deliver(Milliseconds At) {
     while (!Multicasts.empty() && Multicasts.front().ArrivesAt <= Time.now()) {
       for (const unsigned To : Multicasts.front().To)
-        if (Routers[To])
+        if (Routers[To] && !frozen(To, At))
           Routers[To]->Peers.accept(Multicasts.front().Report);
       Multicasts.pop_front();
     }
--- a/tests/support/limit_simulation.hpp
+++ b/tests/support/limit_simulation.hpp
@@ -23,6 +23,9 @@
   std::chrono::milliseconds Duration{20'000};
   /// Tells whether a router runs; one that runs again starts from nothing.
   std::function<bool(unsigned Router, std::chrono::milliseconds At)> Runs;
+  /// Tells whether a router stands still; it goes on with what it knew. Reports
+  /// to it are lost.
+  std::function<bool(unsigned Router, std::chrono::milliseconds At)> Freezes;
   /// Tells whether reports pass between two routers.
   std::function<bool(unsigned From, unsigned To, std::chrono::milliseconds At)>
       Reaches;
