--- a/tests/unit-dataplane-fleet-limits.cpp
+++ b/tests/unit-dataplane-fleet-limits.cpp
@@ -130,7 +130,8 @@
       Scenario.Limit = Limit;
       Scenario.Demand = std::max(100.0, 5 * Limit * Scenario.Upstreams);
       Scenario.Reaches = [](unsigned From, unsigned, milliseconds At) {
-        return (At.count() + 250 * From) % 2'000 >= 800;
+        return (At + From * milliseconds(250)) % milliseconds(2'000) >=
+               milliseconds(800);
       };
       checkLimits(fmt::format("silent for 0.8 of 2 s, limit {}", Limit),
                   Scenario, 0.9, 1.5);
--- a/tests/unit-scheduling-cell.cpp
+++ b/tests/unit-scheduling-cell.cpp
@@ -328,7 +328,7 @@
       Granted += grantsDuring(Milliseconds(1'000));
     }
     // Two replicas in four seconds.
-    CPPUNIT_ASSERT_LESSEQUAL(std::size_t{2 * 4}, Granted);
+    CPPUNIT_ASSERT_LESSEQUAL(std::size_t{8}, Granted);
   }
 
   // Guards against two sides of a partition that each use the whole limit.
@@ -337,7 +337,8 @@
     TestedCell->setMembers({{Near, ZoneId("z")}}, 2, Now);
     nameLimits(RequestRate(4), RequestRate(4));
     const std::size_t Granted = grantsDuring(Milliseconds(10'000));
-    CPPUNIT_ASSERT_LESSEQUAL(std::size_t{2 * (10 * 2 + 1)}, Granted);
+    // Two replicas, half of the limit, and a request that each may have saved.
+    CPPUNIT_ASSERT_LESSEQUAL(std::size_t{42}, Granted);
   }
 
 private:
