--- a/include/mallowglade/detail/router/upstream_call.hpp
+++ b/include/mallowglade/detail/router/upstream_call.hpp
@@ -30,7 +30,7 @@
   /// Requests per second that the upstream takes from all routers together
   /// (`Server-Limit`); nothing if it named no limit.
   std::optional<RequestRate> Rate;
-  /// True if it named a limit that is no positive number.
+  /// True if it named a limit that cannot be read.
   bool RateUnreadable = false;
 };
 
--- a/src/router/upstream_call.cpp
+++ b/src/router/upstream_call.cpp
@@ -15,7 +15,7 @@
 
 constexpr const char *LimitHeader = "Server-Limit";
 
-/// Reads the limit of a response. A field that is no positive number, or fields
+/// Reads the limit of a response. A field that is no decimal number, or fields
 /// that disagree, say nothing.
 void parseLimit(const httplib::Response &Response, UpstreamHead &Head) {
   for (std::size_t Index = 0;
@@ -23,9 +23,10 @@
     const std::string Text = Response.get_header_value(LimitHeader, Index);
     double Value = 0;
     const char *const End = Text.data() + Text.size();
-    const auto [Rest, Failure] = std::from_chars(Text.data(), End, Value);
+    const auto [Rest, Failure] =
+        std::from_chars(Text.data(), End, Value, std::chars_format::fixed);
     const bool Readable = Failure == std::errc() && Rest == End &&
-                          std::isfinite(Value) && Value > 0;
+                          std::isfinite(Value) && Value >= 0;
     if (!Readable || (Head.Rate && Head.Rate->Value != Value))
       Head.RateUnreadable = true;
     else
