Review, case 3: a drill is not noticed if Store-Era was 0 before

Cause: the data plane takes era 0 for "the store did not say", so that the change from 0 to 1 counts as the first era seen and not as a restoration. Shown: the store goes away right after the ack of a manifest that takes a key away and comes back from a copy; the routers accept the key until the manifest is written again, more than revoke_ms after the ack (CONFIG). From era 1 to era 2 the same drill holds (ERA0=1).

--- a/review/standins/fleet.py
+++ b/review/standins/fleet.py
@@ -154,7 +154,7 @@
 class Store(Server):
     """Metadata store: revisions, leases, changes since a revision, and copies that it may come back from."""
 
-    def __init__(self, record):
+    def __init__(self, record, era=1):
         super().__init__()
         self.record = record
         self.items = {}
@@ -162,7 +162,7 @@
         self.revision = 100
         self.leases = {}
         self.next_lease = 1000
-        self.era = 0
+        self.era = era
         self.down = False
         self.copy = None
 
@@ -216,9 +216,7 @@
                 self._expire()
                 status, body = self._answer(request)
             payload = b"" if body is None else json.dumps(body).encode()
-            headers = {"Content-Type": "application/json", "Content-Length": len(payload)}
-            if self.era:
-                headers["Store-Era"] = self.era
+            headers = {"Content-Type": "application/json", "Content-Length": len(payload), "Store-Era": self.era}
             writer.write(format_head(status, headers) + payload)
             await writer.drain()
 
