--- a/review/2/case.py
+++ b/review/2/case.py
@@ -133,6 +133,7 @@
             answer = await channel.send("POST", "/stream/draft", attempt, "key-kirk", 10000, b"psalm 23")
         except (OSError, asyncio.TimeoutError):
             channel.close()
+            record.write("not_sent", attempt=attempt)
             continue
         answers[attempt] = answer.status if answer.complete else None
         record.write("answered", attempt=attempt, status=answer.status, complete=answer.complete)
--- a/review/standins/fleet.py
+++ b/review/standins/fleet.py
@@ -459,6 +459,8 @@
 class Router:
     """A router process, started as the deploy file says."""
 
+    started = []
+
     def __init__(self, name, zone, store_port, directory, record):
         self.name = name
         self.zone = zone
@@ -492,6 +494,7 @@
         environment["MALLOWGLADE_BOOT"] = self.settings
         self.process = subprocess.Popen(self.command, cwd=ROOT, env=environment, stdin=subprocess.DEVNULL,
                                         stdout=log, stderr=log)
+        Router.started.append(self.process)
         log.close()
         self.record.write("router_started", router=self.name, pid=self.process.pid)
 
@@ -550,11 +553,21 @@
     record.write("case", trouble=int(trouble))
     directory = tempfile.mkdtemp(prefix="mallowglade-review-")
     code = 2
+
+    def end(number, _):
+        raise SystemExit(f"signal {number}")
+
+    signal.signal(signal.SIGTERM, end)
     try:
         held = asyncio.run(asyncio.wait_for(case(record, directory, trouble), 110))
         code = 0 if held else 1
-    except Exception as error:  # The case could not run; the record tells why.
+    except (Exception, SystemExit, KeyboardInterrupt) as error:  # The case could not run; the record tells why.
         record.write("failed", error=repr(error))
+    finally:
+        for process in Router.started:
+            if process.poll() is None:
+                process.kill()
+                process.wait()
     record.write("result", exit=code)
     if os.environ.get("KEEP_LOGS"):
         print("logs:", directory)
