Report a fatal signal as a line of the log

Change: threads that process bytes from outside install a handler with a stack of its own; the line `fatal_signal` has the signal, the thread and the distance of the access from the start of its stack.

--- a/src/dataplane/node.cpp
+++ b/src/dataplane/node.cpp
@@ -1,5 +1,7 @@
 #include <mallowglade/detail/dataplane/node.hpp>
 
+#include <mallowglade/detail/core/fatal_signal.hpp>
+
 #include <asio/executor_work_guard.hpp>
 #include <asio/post.hpp>
 #include <asio/signal_set.hpp>
@@ -70,7 +72,11 @@
                         {"listen", Settings.CallerListen},
                         {"zone", Settings.Zone.Value}});
     Log.flush();
-    std::thread ControlThread([this] { ControlContext.run(); });
+    std::thread ControlThread([this] {
+      const FatalSignalReport Report("control");
+      ControlContext.run();
+    });
+    const FatalSignalReport Report("traffic");
     TrafficContext.run();
     ControlThread.join();
     Log.write("stop", {{"router", Settings.Name}});
--- a/src/kernel/blocking_pool.cpp
+++ b/src/kernel/blocking_pool.cpp
@@ -1,5 +1,7 @@
 #include <mallowglade/kernel.hpp>
 
+#include <mallowglade/detail/core/fatal_signal.hpp>
+
 #include <condition_variable>
 #include <deque>
 #include <mutex>
@@ -18,6 +20,7 @@
   explicit State(std::size_t Threads) : MaxThreads(Threads) {}
 
   void runThread() {
+    const FatalSignalReport Report("attempt");
     std::unique_lock<std::mutex> Lock(Mutex);
     while (waitForTask(Lock)) {
       const Executor::Task Work = std::move(Tasks.front());
--- a/src/kernel/control_thread.cpp
+++ b/src/kernel/control_thread.cpp
@@ -1,5 +1,7 @@
 #include <mallowglade/kernel.hpp>
 
+#include <mallowglade/detail/core/fatal_signal.hpp>
+
 #include <asio/post.hpp>
 #include <asio/steady_timer.hpp>
 
@@ -57,7 +59,10 @@
 }
 
 void ControlThread::start() {
-  Thread = std::thread([this] { Context.run(); });
+  Thread = std::thread([this] {
+    const FatalSignalReport Report("control");
+    Context.run();
+  });
 }
 
 void ControlThread::stop() {
