Pass on the data of events without interpreting them

Cause: EventStream parsed the data for a `usage` object and printed it again; the serializer of the JSON library recurses once for each level, and an event may have 1 MiB. The data plane did not use the result. Change: events are split and passed on; router reads the two numbers of a usage, and callers' bodies, without building the document, within 64 levels and 10 million tokens. Ids that fit no header field are not used to resume. router ends answers above 64 MiB and events above 1 MiB. JSON that is parsed into a document is bounded in depth, and a number that is too large is an error instead of an exception that nothing caught.

--- a/include/mallowglade/detail/dataplane/response_reader.hpp
+++ b/include/mallowglade/detail/dataplane/response_reader.hpp
@@ -84,8 +84,6 @@
 
   /// Size above which a response is passed on as it arrives.
   static constexpr std::size_t MaxBufferedBytes = 262'144;
-  /// Maximum size of a single event.
-  static constexpr std::size_t MaxEventBytes = 1'048'576;
   /// Maximum size of the body of a response that is dropped.
   static constexpr std::uint64_t MaxDiscardedBytes = 65'536;
   /// Maximum size of a body whose length is not announced.
--- a/include/mallowglade/detail/router/attempt_meter.hpp
+++ b/include/mallowglade/detail/router/attempt_meter.hpp
@@ -15,9 +15,9 @@
                const Clock &Time);
   /// @brief Sets the number of tokens received so far.
   void tokens(std::uint64_t Count);
-  /// @brief Takes the usage that the engine states.
-  /// @param Json usage object
-  void usage(const std::string &Json);
+  /// @brief Takes the usage that the engine states, if any.
+  /// @param Json document with a `usage` object
+  void usageOf(std::string_view Json);
   /// @return state so far
   AttemptProgress progress() const;
 
--- a/include/mallowglade/detail/router/dispatcher.hpp
+++ b/include/mallowglade/detail/router/dispatcher.hpp
@@ -58,6 +58,8 @@
   ConnectionLost,
   /// The connection ended and the upstream accepts no new one.
   UpstreamCrashed,
+  /// The answer cannot be passed on, for example in the middle of a stream.
+  Unusable,
   /// No byte arrived within the gap limit.
   Silent,
   /// The router gave the attempt up, for example after the caller left.
--- a/include/mallowglade/detail/router/upstream_call.hpp
+++ b/include/mallowglade/detail/router/upstream_call.hpp
@@ -37,7 +37,8 @@
 /// @brief Receives an upstream's reply, on the calling thread.
 struct UpstreamReceiver {
   std::function<void(const UpstreamHead &)> OnHead;
-  std::function<void(std::string_view)> OnBytes;
+  /// Returns false to end the call.
+  std::function<bool(std::string_view)> OnBytes;
 };
 
 /// @brief Limits of one call.
--- a/include/mallowglade/settings.hpp
+++ b/include/mallowglade/settings.hpp
@@ -4,6 +4,7 @@
 /// @brief Instance settings and the settings tree.
 
 #include <mallowglade/detail/settings/audit.hpp>
+#include <mallowglade/detail/settings/bounded_json.hpp>
 #include <mallowglade/detail/settings/change.hpp>
 #include <mallowglade/detail/settings/instance_settings.hpp>
 #include <mallowglade/detail/settings/json_reader.hpp>
--- a/src/dataplane/response_reader.cpp
+++ b/src/dataplane/response_reader.cpp
@@ -90,7 +90,7 @@
   case Handling::RelayEvents:
     Relayable.append(Events.feed(Data));
     AnyEvent |= !Relayable.empty();
-    if (Events.incompleteBytes() > MaxEventBytes)
+    if (Events.eventTooLarge())
       return ResponseFault::TooLarge;
     break;
   }
--- a/src/http1/event_stream.cpp
+++ b/src/http1/event_stream.cpp
@@ -1,7 +1,5 @@
 #include <mallowglade/detail/http1/event_stream.hpp>
 
-#include <nlohmann/json.hpp>
-
 #include <algorithm>
 #include <utility>
 
@@ -34,9 +32,20 @@
   return Value;
 }
 
+/// Returns the id of an event, or nothing for one that would end the header
+/// field in which it is sent, or fill the head of the request.
+std::string resumableId(std::string_view Id) {
+  const bool Printable = std::all_of(Id.begin(), Id.end(), [](char C) {
+    return static_cast<unsigned char>(C) >= ' ' && C != '\x7f';
+  });
+  return Printable && Id.size() <= EventStream::MaxIdBytes ? std::string(Id)
+                                                           : std::string();
+}
+
 } // namespace
 
-std::string EventStream::feed(std::string_view Bytes) {
+std::string EventStream::feed(std::string_view Bytes,
+                              EventDataReceiver *Receiver) {
   // The end of an event may be split between two reads.
   std::size_t From =
       PendingBytes.size() - std::min(PendingBytes.size(), MaxEventEndBytes);
@@ -44,7 +53,8 @@
   std::size_t Begin = 0;
   for (auto End = findEventEnd(PendingBytes, From); End != std::string::npos;
        End = findEventEnd(PendingBytes, From)) {
-    scanEvent(std::string_view(PendingBytes).substr(Begin, End - Begin));
+    scanEvent(std::string_view(PendingBytes).substr(Begin, End - Begin),
+              Receiver);
     From = Begin = End;
   }
   std::string CompleteEvents = PendingBytes.substr(0, Begin);
@@ -60,7 +70,8 @@
 
 void EventStream::reset() { PendingBytes.clear(); }
 
-void EventStream::scanEvent(std::string_view Event) {
+void EventStream::scanEvent(std::string_view Event,
+                            EventDataReceiver *Receiver) {
   while (!Event.empty()) {
     const auto End = Event.find('\n');
     std::string_view Line = Event.substr(0, End);
@@ -68,7 +79,7 @@
       Line.remove_suffix(1);
     Event.remove_prefix(End == std::string_view::npos ? Event.size() : End + 1);
     if (Line.starts_with("id:"))
-      LastEventIdValue = std::string(fieldValue(Line, "id:"));
+      LastEventIdValue = resumableId(fieldValue(Line, "id:"));
     if (!Line.starts_with("data:"))
       continue;
     const std::string_view Data = fieldValue(Line, "data:");
@@ -77,12 +88,8 @@
       continue;
     }
     ++DataLineCount;
-    if (Data.find("\"usage\"") == std::string_view::npos)
-      continue;
-    const auto Document = nlohmann::json::parse(Data, nullptr, false);
-    if (Document.is_object() && Document.contains("usage") &&
-        Document["usage"].is_object())
-      Usage = Document["usage"].dump();
+    if (Receiver != nullptr)
+      Receiver->onEventData(Data);
   }
 }
 
--- a/src/router/attempt_meter.cpp
+++ b/src/router/attempt_meter.cpp
@@ -1,6 +1,5 @@
 #include <mallowglade/detail/router/attempt_meter.hpp>
-
-#include <nlohmann/json.hpp>
+#include <mallowglade/detail/router/json_scalars.hpp>
 
 #include <algorithm>
 #include <cmath>
@@ -12,14 +11,9 @@
 constexpr double BytesPerToken = 4;
 constexpr double DefaultOutputTokens = 256;
 
-/// A count of another type, or a negative one, is ignored.
-double numberOf(const nlohmann::json &Usage, const char *Key, double Default) {
-  const auto Found = Usage.find(Key);
-  if (Found == Usage.end() || !Found->is_number())
-    return Default;
-  const auto Number = Found->get<double>();
-  return Number >= 0 ? Number : Default;
-}
+/// Maximum number of tokens that one request is charged for, whatever the
+/// engine or the caller states.
+constexpr double MaxTokens = 10'000'000;
 
 } // namespace
 
@@ -36,12 +30,17 @@
   LastAt = Now;
 }
 
-void AttemptMeter::usage(const std::string &Json) {
-  const auto Usage = nlohmann::json::parse(Json, nullptr, false);
-  if (!Usage.is_object())
+void AttemptMeter::usageOf(std::string_view Json) {
+  constexpr const char *PromptTokens = "usage.prompt_tokens";
+  constexpr const char *CompletionTokens = "usage.completion_tokens";
+  if (Json.find("\"usage\"") == std::string_view::npos)
     return;
-  InputTokens = numberOf(Usage, "prompt_tokens", InputTokens);
-  OutputTokens = numberOf(Usage, "completion_tokens", OutputTokens);
+  const JsonScalars Stated =
+      readScalars(Json, {PromptTokens, CompletionTokens});
+  InputTokens =
+      positiveNumber(Stated, PromptTokens, MaxTokens).value_or(InputTokens);
+  OutputTokens = positiveNumber(Stated, CompletionTokens, MaxTokens)
+                     .value_or(OutputTokens);
 }
 
 AttemptProgress AttemptMeter::progress() const {
@@ -66,22 +65,21 @@
 }
 
 bool asksForStream(const std::string &Body) {
-  const auto Document = nlohmann::json::parse(Body, nullptr, false);
-  if (!Document.is_object())
-    return false;
-  const auto Found = Document.find("stream");
-  return Found != Document.end() && Found->is_boolean() && Found->get<bool>();
+  constexpr const char *Stream = "stream";
+  const JsonScalars Stated = readScalars(Body, {Stream});
+  const auto Found = Stated.find(Stream);
+  return Found != Stated.end() && Found->second.IsBoolean &&
+         Found->second.Number != 0;
 }
 
 ServiceUnits estimateCost(const PoolSettings &Pool, const std::string &Body) {
   if (Pool.Kind == PoolKind::Service)
     return ServiceUnits(1);
   const double InputTokens = Body.size() / BytesPerToken;
-  double OutputTokens = DefaultOutputTokens;
-  const auto Document = nlohmann::json::parse(Body, nullptr, false);
-  if (Document.is_object() && Document.contains("max_tokens") &&
-      Document["max_tokens"].is_number())
-    OutputTokens = std::max(1.0, Document["max_tokens"].get<double>());
+  constexpr const char *MaxOutput = "max_tokens";
+  const double OutputTokens = std::max(
+      1.0, positiveNumber(readScalars(Body, {MaxOutput}), MaxOutput, MaxTokens)
+               .value_or(DefaultOutputTokens));
   const double Units =
       InputTokens * Pool.InputWeight + OutputTokens * Pool.OutputWeight;
   return ServiceUnits(std::clamp(Units, 1.0, Pool.MaxRequestUnits));
--- a/src/router/attempt_run.cpp
+++ b/src/router/attempt_run.cpp
@@ -4,8 +4,6 @@
 #include <mallowglade/detail/router/attempt_meter.hpp>
 #include <mallowglade/detail/router/upstream_directory.hpp>
 
-#include <nlohmann/json.hpp>
-
 #include <thread>
 
 namespace mallowglade {
@@ -20,9 +18,11 @@
 /// The sockets of a process that crashes do not all close at once.
 constexpr Milliseconds CrashSettleTime{20};
 constexpr int ServerErrorStatus = 500;
+/// Maximum size of an answer, which is kept as a whole for its callers.
+constexpr std::size_t MaxAnswerBytes = 67'108'864;
 
 /// Passes the bytes of one attempt on to the answer.
-class AttemptSink {
+class AttemptSink final : private EventDataReceiver {
 public:
   AttemptSink(Answer &Target, EventStream &Events, AttemptMeter &Meter)
       : Target(Target), Events(Events), Meter(Meter) {}
@@ -35,27 +35,29 @@
       Target.begin({Head.Status, Head.ContentType});
   }
 
-  void onBytes(std::string_view Bytes) {
+  /// @return false if the rest of the answer is not wanted
+  bool onBytes(std::string_view Bytes) {
     if (!Streaming) {
       Whole.append(Bytes);
-      return;
+      TooLarge = Whole.size() > MaxAnswerBytes;
+      return !TooLarge;
     }
-    Target.append(Events.feed(Bytes));
+    Target.append(Events.feed(Bytes, this));
     Meter.tokens(Events.dataLineCount());
-    if (!Events.usage().empty())
-      Meter.usage(Events.usage());
+    TooLarge = Events.eventTooLarge() || Target.size() > MaxAnswerBytes;
+    return !TooLarge;
   }
 
   /// Completes the answer; an incomplete stream counts as a lost connection.
   AttemptEnd end(AttemptEnd End) {
+    if (TooLarge)
+      return AttemptEnd::Unusable;
     if (End != AttemptEnd::Answered)
       return End;
     if (Streaming && !Events.done())
       return AttemptEnd::ConnectionLost;
     if (!Streaming) {
-      const auto Document = nlohmann::json::parse(Whole, nullptr, false);
-      if (Document.is_object() && Document.contains("usage"))
-        Meter.usage(Document["usage"].dump());
+      Meter.usageOf(Whole);
       Target.begin({Head.Status, Head.ContentType});
       Target.append(Whole);
     }
@@ -65,11 +67,14 @@
   const UpstreamHead &head() const { return Head; }
 
 private:
+  void onEventData(std::string_view Data) override { Meter.usageOf(Data); }
+
   Answer &Target;
   EventStream &Events;
   AttemptMeter &Meter;
   UpstreamHead Head;
   bool Streaming = false;
+  bool TooLarge = false;
   std::string Whole;
 };
 
@@ -111,15 +116,16 @@
       });
   };
   Receiver.OnBytes = [&](std::string_view Bytes) {
-    Sink.onBytes(Bytes);
+    const bool Wanted = Sink.onBytes(Bytes);
     if (Context.Time.now() - LastReport < ProgressPeriod)
-      return;
+      return Wanted;
     LastReport = Context.Time.now();
     Context.Control.post([Self = shared_from_this(), Id = Request.Id, Where,
                           Progress = Meter.progress()] {
       Self->Context.Services.find<Dispatcher>(service_name::Dispatcher)
           ->progress(Id, Where, Progress);
     });
+    return Wanted;
   };
   // The bytes of a whole answer come at its end, so that a slow upstream looks
   // like a silent connection for longer.
--- a/src/router/cell_dispatcher.cpp
+++ b/src/router/cell_dispatcher.cpp
@@ -31,6 +31,7 @@
   case AttemptEnd::UpstreamCrashed:
     return GrantEnd::Crashed;
   case AttemptEnd::ConnectionLost:
+  case AttemptEnd::Unusable:
   case AttemptEnd::Silent:
   case AttemptEnd::Cancelled:
     return GrantEnd::Cancelled;
--- a/src/router/request_runner.cpp
+++ b/src/router/request_runner.cpp
@@ -24,6 +24,7 @@
   case AttemptEnd::Answered:
   case AttemptEnd::ConnectionLost:
   case AttemptEnd::UpstreamCrashed:
+  case AttemptEnd::Unusable:
   case AttemptEnd::Cancelled:
     return AttemptFailure::Interrupted;
   }
@@ -38,6 +39,8 @@
     return ErrorId::NoCapacity;
   case AttemptEnd::Silent:
     return ErrorId::UpstreamTimeout;
+  case AttemptEnd::Unusable:
+    return ErrorId::UpstreamFailed;
   case AttemptEnd::Answered:
   case AttemptEnd::ConnectionLost:
   case AttemptEnd::UpstreamCrashed:
--- a/src/router/upstream_call.cpp
+++ b/src/router/upstream_call.cpp
@@ -109,9 +109,8 @@
   Message.content_receiver = [&](const char *Data, std::size_t Size,
                                  std::uint64_t, std::uint64_t) {
     LastByte = std::chrono::steady_clock::now();
-    if (!Refused)
-      Receiver.OnBytes({Data, Size});
-    return Cancellation == nullptr || !Cancellation->cancelled();
+    const bool Wanted = Refused || Receiver.OnBytes({Data, Size});
+    return Wanted && (Cancellation == nullptr || !Cancellation->cancelled());
   };
   if (Cancellation != nullptr) {
     Cancellation->setAction([&Client] { Client.stop(); });
--- a/src/settings/json_reader.cpp
+++ b/src/settings/json_reader.cpp
@@ -75,10 +75,17 @@
 
 Result<nlohmann::json> parseJson(const std::string &Text) {
   try {
+    if (nestsDeeperThan(Text, MaxJsonDepth))
+      return Error{
+          ErrorId::InvalidJson,
+          fmt::format("JSON nested more than {} levels deep", MaxJsonDepth),
+          ""};
     return nlohmann::json::parse(Text);
   } catch (const nlohmann::json::parse_error &Failure) {
     return Error{ErrorId::InvalidJson,
                  "malformed JSON at byte " + std::to_string(Failure.byte), ""};
+  } catch (const nlohmann::json::out_of_range &) {
+    return Error{ErrorId::InvalidJson, "a number is too large", ""};
   }
 }
 
@@ -170,12 +177,12 @@
     fail(ErrorId::WrongType, Key, "expected an integer");
     return Min;
   }
-  const auto Number = Value->get<std::int64_t>();
-  if (Number < Min || Number > Max)
+  const auto Number = numberWithin<std::int64_t>(*Value, Min, Max);
+  if (!Number)
     fail(ErrorId::OutOfRange, Key,
          "the value must be from " + std::to_string(Min) + " to " +
              std::to_string(Max));
-  return Number;
+  return Number.value_or(Min);
 }
 
 std::int64_t JsonReader::integer(const std::string &Key, std::int64_t Min,
