Add nothing but the rest of a stream to a stream that has begun

Cause: AttemptSink decided from the head of the current attempt alone; the answer keeps its first head, and whatever the next engine sent was appended. A stream that cannot be resumed was begun again. Change: an answer that is no rest of the stream ends the attempt as unusable; a stream that has begun is repeated only after an event id; a 5xx with the type of event streams is a whole answer.

--- a/include/mallowglade/detail/router/answer.hpp
+++ b/include/mallowglade/detail/router/answer.hpp
@@ -26,6 +26,8 @@
 public:
   /// @brief Sets status and content type; later calls have no effect.
   void begin(AnswerHead Head);
+  /// @return status of the answer, or nothing before it has begun
+  std::optional<int> status() const;
   /// @brief Appends bytes of the body.
   void append(std::string_view Bytes);
   /// @brief Marks the answer as complete.
--- a/src/router/answer.cpp
+++ b/src/router/answer.cpp
@@ -9,6 +9,11 @@
   Changed.notify_all();
 }
 
+std::optional<int> Answer::status() const {
+  const std::lock_guard<std::mutex> Lock(Mutex);
+  return Head ? std::optional(Head->Status) : std::nullopt;
+}
+
 void Answer::append(std::string_view Bytes) {
   const std::lock_guard<std::mutex> Lock(Mutex);
   if (!Completed && !Failure)
--- a/src/router/attempt_run.cpp
+++ b/src/router/attempt_run.cpp
@@ -25,18 +25,24 @@
 class AttemptSink final : private EventDataReceiver {
 public:
   AttemptSink(Answer &Target, EventStream &Events, AttemptMeter &Meter)
-      : Target(Target), Events(Events), Meter(Meter) {}
+      : Target(Target), Events(Events), Meter(Meter),
+        BegunStatus(Target.status()) {}
 
   void onHead(const UpstreamHead &NewHead) {
     Head = NewHead;
-    Streaming = Head.ContentType.starts_with("text/event-stream");
+    Streaming = Head.ContentType.starts_with("text/event-stream") &&
+                Head.Status < ServerErrorStatus;
     Events.reset();
-    if (Streaming && Head.Status < ServerErrorStatus)
+    // Callers have a part of a stream: only its rest can be added to it.
+    NotResumed = BegunStatus && !(Streaming && Head.Status == *BegunStatus);
+    if (Streaming && !NotResumed)
       Target.begin({Head.Status, Head.ContentType});
   }
 
   /// @return false if the rest of the answer is not wanted
   bool onBytes(std::string_view Bytes) {
+    if (NotResumed)
+      return false;
     if (!Streaming) {
       Whole.append(Bytes);
       TooLarge = Whole.size() > MaxAnswerBytes;
@@ -50,7 +56,9 @@
 
   /// Completes the answer; an incomplete stream counts as a lost connection.
   AttemptEnd end(AttemptEnd End) {
-    if (TooLarge)
+    if (End == AttemptEnd::Refused)
+      return End;
+    if (TooLarge || NotResumed)
       return AttemptEnd::Unusable;
     if (End != AttemptEnd::Answered)
       return End;
@@ -72,8 +80,11 @@
   Answer &Target;
   EventStream &Events;
   AttemptMeter &Meter;
+  /// Status of the answer if an earlier attempt has begun it.
+  std::optional<int> BegunStatus;
   UpstreamHead Head;
   bool Streaming = false;
+  bool NotResumed = false;
   bool TooLarge = false;
   std::string Whole;
 };
--- a/src/router/request_runner.cpp
+++ b/src/router/request_runner.cpp
@@ -278,7 +278,11 @@
       Context.Services.find<UpstreamDirectory>(service_name::Upstreams)
           ->available(Current->Request.Pool.Id)
           .empty();
-  Current->History.RetryAllowed = !NobodyLeft && (Free || Budget.takeRetry());
+  // Without an event id, another upstream would begin the stream again.
+  const bool Resumable =
+      !Current->Target->status() || !Current->Events.lastEventId().empty();
+  Current->History.RetryAllowed =
+      Resumable && !NobodyLeft && (Free || Budget.takeRetry());
   const NextStep Next = decideNextStep(Current->History, failureOf(End));
   Context.Log.warning("attempt failed",
                       {{"request_id", Current->Request.Id.Value},
--- a/tests/integration/test-foreign-bytes.cpp
+++ b/tests/integration/test-foreign-bytes.cpp
@@ -3,6 +3,8 @@
 
 #include <cppunit/extensions/HelperMacros.h>
 
+#include <atomic>
+
 using namespace fleet;
 
 namespace {
@@ -10,6 +12,26 @@
 constexpr int UpstreamPort = 18'000;
 const std::string EventsHead = "HTTP/1.1 200 OK\r\n"
                                "Content-Type: text/event-stream\r\n";
+const std::string LastChunk = "\r\n0\r\n\r\n";
+const std::string ErrorText = "the engine has failed";
+
+std::string eventOf(int Number, bool WithId) {
+  return (WithId ? "id: " + std::to_string(Number) + "\n" : std::string()) +
+         "data: {\"n\":" + std::to_string(Number) + "}\n\n";
+}
+
+/// Error response in one of the framings that HTTP knows.
+std::string errorWith(const std::string &Framing) {
+  const std::string Head = "HTTP/1.1 500 Internal Server Error\r\n"
+                           "Content-Type: text/plain\r\n";
+  if (Framing == "length")
+    return Head + "Content-Length: " + std::to_string(ErrorText.size()) +
+           "\r\n\r\n" + ErrorText;
+  if (Framing == "chunks")
+    return Head + "Transfer-Encoding: chunked\r\n\r\n" + chunkOf(ErrorText) +
+           "0\r\n\r\n";
+  return Head + "Connection: close\r\n\r\n" + ErrorText;
+}
 
 } // namespace
 
@@ -17,6 +39,8 @@
 class ForeignBytesTest : public CppUnit::TestFixture {
   CPPUNIT_TEST_SUITE(ForeignBytesTest);
   CPPUNIT_TEST(nestedEventIsPassedOnAndEndsNoRouter);
+  CPPUNIT_TEST(errorInMidStreamReachesNoCaller);
+  CPPUNIT_TEST(streamWithoutIdsIsNotBegunAgain);
   CPPUNIT_TEST(longAndNestedRequestsEndNoRouter);
   CPPUNIT_TEST_SUITE_END();
 
@@ -45,6 +69,58 @@
     CPPUNIT_ASSERT(!Router->Runs->ended());
   }
 
+  // Guards against an error of the next upstream that callers find in the
+  // middle of their stream, which then ends as if it were complete.
+  void errorInMidStreamReachesNoCaller() {
+    std::atomic<unsigned> Requests{0};
+    std::string Framing;
+    const auto Script = [&](ScriptedConnection &Connection, const auto &) {
+      if (Requests++ == 0) {
+        Connection.send(EventsHead + "Transfer-Encoding: chunked\r\n\r\n" +
+                        chunkOf(eventOf(1, true)));
+        Connection.close();
+        return;
+      }
+      Connection.send(errorWith(Framing));
+      Connection.close();
+    };
+    addUpstream("engine-1", Script);
+    addUpstream("engine-2", Script);
+    startRouter();
+    for (const char *Each : {"length", "chunks", "close"}) {
+      Framing = Each;
+      Requests = 0;
+      const std::string Raw = askRaw(Framing);
+      CPPUNIT_ASSERT_MESSAGE(Each,
+                             Raw.find(eventOf(1, true)) != std::string::npos);
+      CPPUNIT_ASSERT_MESSAGE(Each, Raw.find(ErrorText) == std::string::npos);
+      CPPUNIT_ASSERT_MESSAGE(Raw, Raw.find(LastChunk) == std::string::npos);
+    }
+  }
+
+  // Guards against a stream that cannot be resumed and whose events come twice.
+  void streamWithoutIdsIsNotBegunAgain() {
+    std::atomic<unsigned> Requests{0};
+    const auto Script = [&](ScriptedConnection &Connection, const auto &) {
+      const bool First = Requests++ == 0;
+      Connection.send(EventsHead + "Transfer-Encoding: chunked\r\n\r\n" +
+                      chunkOf(eventOf(1, false)));
+      if (!First)
+        Connection.send(chunkOf(eventOf(2, false) + "data: [DONE]\n\n") +
+                        "0\r\n\r\n");
+      Connection.close();
+    };
+    addUpstream("engine-1", Script);
+    addUpstream("engine-2", Script);
+    startRouter();
+    const std::string Raw = askRaw("x");
+    const std::size_t FirstEvent = Raw.find(eventOf(1, false));
+    CPPUNIT_ASSERT(FirstEvent != std::string::npos);
+    CPPUNIT_ASSERT(Raw.find(eventOf(1, false), FirstEvent + 1) ==
+                   std::string::npos);
+    CPPUNIT_ASSERT_MESSAGE(Raw, Raw.find(LastChunk) == std::string::npos);
+  }
+
   // Guards against requests whose length or nesting ends a router.
   void longAndNestedRequestsEndNoRouter() {
     addUpstream("engine-1", [](ScriptedConnection &Connection, const auto &) {
@@ -99,6 +175,17 @@
     Wanted.Timeout = Milliseconds(8'000);
     return send(Wanted);
   }
+  /// Everything that the router sends until it closes.
+  std::string askRaw(const std::string &Prompt) const {
+    const std::string Body = chatBody(Prompt, 3, true).dump();
+    return exchangeRaw(
+        Router->Address,
+        "POST /v1/chat/completions HTTP/1.1\r\nHost: a\r\n"
+        "Authorization: Bearer key-quote\r\nConnection: close\r\n"
+        "Content-Type: application/json\r\nContent-Length: " +
+            std::to_string(Body.size()) + "\r\n\r\n" + Body);
+  }
+
   std::unique_ptr<Fleet> Run;
   std::vector<std::unique_ptr<ScriptedServer>> Upstreams;
   Node *Router = nullptr;
