--- a/include/mallowglade/detail/platform/http_instance_list.hpp
+++ b/include/mallowglade/detail/platform/http_instance_list.hpp
@@ -4,6 +4,10 @@
 
 namespace mallowglade {
 
+/// @brief Parses an instance list; entries that name no instance are left out.
+/// @param Text JSON object with the list `instances`
+Result<std::vector<Instance>> parseInstanceList(const std::string &Text);
+
 /// @brief Instance list read from `GET /v1/instances`.
 class HttpInstanceList final : public InstanceList {
 public:
--- a/src/platform/http_instance_list.cpp
+++ b/src/platform/http_instance_list.cpp
@@ -8,6 +8,8 @@
 namespace {
 
 constexpr std::int64_t MaxInFlightBound = 1'000'000;
+/// Maximum size of one entry.
+constexpr std::size_t MaxEntryBytes = 65'536;
 
 Instance parseInstance(JsonReader &Reader) {
   Instance Entry;
@@ -25,6 +27,26 @@
 
 } // namespace
 
+Result<std::vector<Instance>> parseInstanceList(const std::string &Text) {
+  const auto Items = listItems(Text, "instances");
+  if (!Items)
+    return Error{ErrorId::InvalidJson, "expected an object with a list",
+                 "/instances"};
+  std::vector<Instance> Instances;
+  for (const std::string_view Item : *Items) {
+    // An entry that another writer left names no instance; the others hold.
+    const auto Document = parseBoundedJson(Item, MaxEntryBytes);
+    if (!Document)
+      continue;
+    std::optional<Error> Invalid;
+    JsonReader Reader(*Document, "", Invalid);
+    Instance Entry = parseInstance(Reader);
+    if (!Invalid)
+      Instances.push_back(std::move(Entry));
+  }
+  return Instances;
+}
+
 HttpInstanceList::HttpInstanceList(std::string Endpoint,
                                    Milliseconds CallTimeout)
     : Endpoint(std::move(Endpoint)), CallTimeout(CallTimeout) {}
@@ -34,17 +56,7 @@
       detail::callHttp({Endpoint, "GET", "/v1/instances", "", CallTimeout});
   if (!isOk(Reply))
     return errorOf(Reply);
-  Result<nlohmann::json> Document = parseJson(valueOf(Reply));
-  if (!isOk(Document))
-    return errorOf(Document);
-  std::optional<Error> FirstError;
-  JsonReader Root(valueOf(Document), "", FirstError);
-  std::vector<Instance> Instances;
-  for (JsonReader &Reader : Root.objectList("instances"))
-    Instances.push_back(parseInstance(Reader));
-  if (FirstError)
-    return *FirstError;
-  return Instances;
+  return parseInstanceList(valueOf(Reply));
 }
 
 } // namespace mallowglade
--- a/src/settings/json_reader.cpp
+++ b/src/settings/json_reader.cpp
@@ -30,6 +30,8 @@
 }
 
 bool isNumericHost(const std::string &Host) {
+  if (Host.find('\0') != std::string::npos)
+    return false;
   std::array<unsigned char, sizeof(in6_addr)> Buffer{};
   return inet_pton(AF_INET, Host.c_str(), Buffer.data()) == 1 ||
          inet_pton(AF_INET6, Host.c_str(), Buffer.data()) == 1;
--- a/tests/integration/test-foreign-bytes.cpp
+++ b/tests/integration/test-foreign-bytes.cpp
@@ -41,6 +41,7 @@
   CPPUNIT_TEST(nestedEventIsPassedOnAndEndsNoRouter);
   CPPUNIT_TEST(errorInMidStreamReachesNoCaller);
   CPPUNIT_TEST(streamWithoutIdsIsNotBegunAgain);
+  CPPUNIT_TEST(oddInstancesLeaveTheOthersInUse);
   CPPUNIT_TEST(longAndNestedRequestsEndNoRouter);
   CPPUNIT_TEST_SUITE_END();
 
@@ -121,6 +122,56 @@
     CPPUNIT_ASSERT_MESSAGE(Raw, Raw.find(LastChunk) == std::string::npos);
   }
 
+  // Guards against one odd entry that stops a router from following the list.
+  void oddInstancesLeaveTheOthersInUse() {
+    const auto Script = [](ScriptedConnection &Connection, const auto &) {
+      Connection.send(EventsHead + "Connection: close\r\n\r\n" +
+                      "data: [DONE]\n\n");
+      Connection.close();
+    };
+    addUpstream("engine-1", Script);
+    startRouter();
+    CPPUNIT_ASSERT_EQUAL(200, ask().Status);
+    std::string Nested = std::string(100'000, '[') + std::string(100'000, ']');
+    const std::string Second = Run->newHost();
+    const std::vector<std::string> Odd{
+        R"({"name":"odd","pool":"models","address":"127.0.0.1:70000"})",
+        R"({"name":"odd","pool":"models","address":"127.0.0.1:1",)"
+        R"("max_in_flight":99999999999999999999})",
+        R"({"name":"odd","pool":"models","address":"127.0.0.1:1",)"
+        R"("max_in_flight":1e400})",
+        R"({"name":"odd","pool":"models","address":7})",
+        R"({"name":"odd","pool":"models","address":"127.0.0.1:1","x":)" +
+            Nested + "}",
+        "7",
+        R"({"name":"odd","pool":"models","address":"127.0.0.1:1",)"
+        R"("max_in_flight":-1})"};
+    for (const std::string &Each : Odd) {
+      // The engine that is in use moves to another address with each round.
+      Upstreams.clear();
+      const std::string Host = Run->newHost();
+      Upstreams.push_back(
+          std::make_unique<ScriptedServer>(Host, UpstreamPort, Script));
+      const json Valid{{"name", "engine-1"},
+                       {"pool", "models"},
+                       {"address", Upstreams.back()->address()},
+                       {"availability_zone", "zone-a"},
+                       {"max_in_flight", 8}};
+      const std::string Document =
+          "{\"instances\":[" + Each + "," + Valid.dump() + "]}";
+      Call Replace;
+      Replace.Address = Run->platform().Address;
+      Replace.Method = "POST";
+      Replace.Path = "/v1/instances";
+      Replace.Body = Document;
+      CPPUNIT_ASSERT_EQUAL(200, send(Replace).Status);
+      CPPUNIT_ASSERT_MESSAGE(Each.substr(0, 100),
+                             waitUntil([this] { return ask().Status == 200; },
+                                       Milliseconds(10'000)));
+      CPPUNIT_ASSERT(!Router->Runs->ended());
+    }
+  }
+
   // Guards against requests whose length or nesting ends a router.
   void longAndNestedRequestsEndNoRouter() {
     addUpstream("engine-1", [](ScriptedConnection &Connection, const auto &) {
--- a/tests/standins/standin-model-fleet.cpp
+++ b/tests/standins/standin-model-fleet.cpp
@@ -15,6 +15,7 @@
 //   {"crashing_part": H}   a replica that begins to answer a request with this
 //                          prompt part crashes, and is back after a while as
 //                          another process
+//   {"entry": [K, V]}      an entry of another writer: the text V under key K
 //   {"copy": true}         keeps a copy of the store
 //   {"restore": MS}        the store goes back to the copy and a new era
 //   begins;
@@ -83,6 +84,13 @@
     Now.History.push_back(item(Key, Now.Entries[Key]));
   }
 
+  /// Writes any bytes, as another writer may.
+  void putBytes(const std::string &Key, const std::string &Value) {
+    const std::lock_guard<std::mutex> Lock(Mutex);
+    Now.Entries[Key] = {Value, ++Now.Revision, 0};
+    Now.History.push_back(item(Key, Now.Entries[Key]));
+  }
+
   void remove(const std::string &Key) {
     const std::lock_guard<std::mutex> Lock(Mutex);
     if (Now.Entries.erase(Key) > 0)
@@ -499,6 +507,8 @@
       Keys = Order["keys"];
       WriteConfiguration();
     }
+    if (Order.contains("entry"))
+      Registry.putBytes(Order["entry"][0], Order["entry"][1]);
     Reply.set_content(json{{"version", Version}}.dump(), "application/json");
     if (Order.contains("down"))
       Registry.Down = Order["down"].get<bool>();
