Bound what callers, engines and routers state in numbers, names and length

Callers saw: an answer lost when more than 64 KiB were pipelined behind its request (the connection was reset); a request with a space after its attempt id answered with 504. Cause: when the read-ahead was full, nothing held the connection. Trailing space was kept in field values, and names with a space before the colon were accepted and forwarded. Numbers of engines (`router`: load, Retry-After, problems of other routers) and the sum of work limits in a report were taken as they are. The limits of the control endpoints had one value in another's place. Change: names of fields are tokens, values are trimmed, a connection that is not read is held until its peer resets it, numbers are bounded where they are read.

--- a/include/mallowglade/detail/http1/message_parser.hpp
+++ b/include/mallowglade/detail/http1/message_parser.hpp
@@ -35,9 +35,10 @@
 ///   http_parser.
 ///
 /// The head is buffered until it is complete and checked more strictly than
-/// http_parser does: bare line feeds, bare carriage returns, folded lines and
-/// NUL bytes are rejected. This prevents request smuggling through another
-/// parser that interprets the same bytes differently.
+/// http_parser does: bare line feeds, bare carriage returns, folded lines, NUL
+/// bytes and names of fields that are no tokens are rejected. This prevents
+/// request smuggling through another parser that interprets the same bytes
+/// differently.
 class MessageParser {
 public:
   /// @param Kind request or response
@@ -75,6 +76,7 @@
   static MessageParser &fromParser(http_parser *Parser);
   std::size_t collectHead(std::string_view Data);
   bool headIsWellFormed() const;
+  bool fieldNamesAreTokens() const;
   bool framingIsUnambiguous() const;
   std::size_t execute(std::string_view Data);
   int finishHead();
--- a/include/mallowglade/detail/http1/server.hpp
+++ b/include/mallowglade/detail/http1/server.hpp
@@ -75,6 +75,9 @@
   void onHead() override;
   void onBody(std::string_view Data) override;
   void read();
+  /// @brief Holds the connection while nothing is read from it, and closes it
+  ///   if the peer resets it.
+  void waitForError();
   void consume();
   void dispatch();
   void reject(unsigned Status);
@@ -110,6 +113,7 @@
   std::size_t BufferedBodyBytes = 0;
   std::optional<std::list<ServerConnection *>::iterator> IdlePosition;
   bool ReadPending = false;
+  bool ErrorWaitPending = false;
   bool Closed = false;
   bool CloseAfterResponse = false;
   bool InputEnded = false;
--- a/src/dataplane/control.cpp
+++ b/src/dataplane/control.cpp
@@ -35,7 +35,8 @@
 constexpr std::size_t MaxTrackedReports = 64;
 /// Limits of the control endpoints, whose requests are small.
 constexpr http1::ServerLimits ControlLimits{
-    8'192, 16'384, Milliseconds(3'000), Milliseconds(15'000), 200, 262'144};
+    8'192, 16'384, Milliseconds(3'000), Milliseconds(15'000), 200,
+    150,   262'144};
 
 asio::ip::tcp::endpoint tcpEndpoint(const std::string &Address) {
   const HostPort Parts = splitAddress(Address);
--- a/src/dataplane/peer_message.cpp
+++ b/src/dataplane/peer_message.cpp
@@ -170,6 +170,12 @@
     const auto &[Format, Sender, Incarnation, Sequence, Address, Ready, Version,
                  Loads, Usage, Proofs, Zone, Members, WorkLimitFactorSum,
                  StoreUnavailable, Crashes, Era, Departed, ProofHeld] = Fields;
+    // Sums of the fleet are made of it.
+    constexpr double MaxWorkLimitFactorSum = 1e6;
+    if (!(WorkLimitFactorSum >= 0 &&
+          WorkLimitFactorSum <= MaxWorkLimitFactorSum))
+      return Error{
+          ErrorId::InvalidMessage, "peer report has a malformed part", {}};
     if (Format != FormatVersion || Sender.empty())
       return Error{ErrorId::InvalidMessage,
                    "peer report has no sender or an unsupported format version",
--- a/src/http1/message_parser.cpp
+++ b/src/http1/message_parser.cpp
@@ -1,14 +1,24 @@
 #include <mallowglade/detail/http1/message_parser.hpp>
 
+#include <algorithm>
+
 namespace mallowglade::http1 {
 
 namespace {
 
 constexpr std::string_view HeadEnd = "\r\n\r\n";
+constexpr std::string_view LineEnd = "\r\n";
 /// Return values of the `on_headers_complete` callback of http_parser.
 constexpr int SkipBodyResult = 1;
 constexpr int ErrorResult = -1;
 
+/// Characters of a token, RFC 9110 section 5.6.2.
+bool isTokenCharacter(char C) {
+  return (C >= 'a' && C <= 'z') || (C >= 'A' && C <= 'Z') ||
+         (C >= '0' && C <= '9') ||
+         std::string_view("!#$%&'*+-.^_`|~").find(C) != std::string_view::npos;
+}
+
 } // namespace
 
 MessageParser::MessageParser(http_parser_type Kind, std::size_t MaxHeadBytes,
@@ -87,7 +97,24 @@
   return Skipped + (HeadBytes - PreviousSize);
 }
 
+bool MessageParser::fieldNamesAreTokens() const {
+  std::string_view Lines = Head;
+  for (std::size_t End = Lines.find(LineEnd); End != std::string_view::npos;
+       End = Lines.find(LineEnd)) {
+    Lines.remove_prefix(End + LineEnd.size());
+    if (Lines == LineEnd)
+      return true;
+    const std::string_view Name = Lines.substr(0, Lines.find(':'));
+    if (Name.empty() || Name.size() == Lines.size() ||
+        !std::all_of(Name.begin(), Name.end(), isTokenCharacter))
+      return false;
+  }
+  return true;
+}
+
 bool MessageParser::headIsWellFormed() const {
+  if (!fieldNamesAreTokens())
+    return false;
   for (std::size_t I = 0; I < Head.size(); ++I) {
     if (Head[I] == '\0')
       return false;
@@ -132,6 +159,8 @@
 }
 
 int MessageParser::finishHead() {
+  for (HeaderField &Field : headers().fields())
+    Field.Value.erase(Field.Value.find_last_not_of(" \t") + 1);
   if (Kind == HTTP_REQUEST && !framingIsUnambiguous()) {
     Failure = ParseError::Malformed;
     return ErrorResult;
--- a/src/http1/server_connection.cpp
+++ b/src/http1/server_connection.cpp
@@ -124,9 +124,12 @@
 }
 
 void ServerConnection::read() {
-  if (ReadPending || Closed || InputEnded ||
-      InputBuffer.size() >= MaxReadAheadBytes)
+  if (ReadPending || Closed || InputEnded)
     return;
+  if (InputBuffer.size() >= MaxReadAheadBytes) {
+    waitForError();
+    return;
+  }
   ReadPending = true;
   Socket.async_wait(asio::ip::tcp::socket::wait_read,
                     [Self = shared_from_this()](std::error_code Error) {
@@ -156,6 +159,17 @@
                     });
 }
 
+void ServerConnection::waitForError() {
+  if (ErrorWaitPending)
+    return;
+  ErrorWaitPending = true;
+  Socket.async_wait(asio::ip::tcp::socket::wait_error,
+                    [Self = shared_from_this()](std::error_code) {
+                      Self->ErrorWaitPending = false;
+                      Self->close();
+                    });
+}
+
 void ServerConnection::onEndOfInput() {
   InputEnded = true;
   if (ActiveExchange)
--- a/src/router/load_poller.cpp
+++ b/src/router/load_poller.cpp
@@ -2,7 +2,7 @@
 
 #include <mallowglade/detail/platform/http_call.hpp>
 
-#include <nlohmann/json.hpp>
+#include <mallowglade/settings.hpp>
 
 namespace mallowglade {
 
@@ -13,6 +13,8 @@
 constexpr Milliseconds FailedPollPeriod{10'000};
 constexpr Milliseconds PollTimeout{500};
 constexpr Milliseconds ReportLife{3'000};
+constexpr std::size_t MaxReportBytes = 65'536;
+constexpr std::uint32_t MaxRunning = 1'000'000;
 
 } // namespace
 
@@ -42,15 +44,17 @@
   Known.NextPoll = Now + FailedPollPeriod;
   if (!isOk(Reply))
     return;
-  const auto Load = nlohmann::json::parse(valueOf(Reply), nullptr, false);
-  if (!Load.is_object() || !Load.contains("running") ||
-      !Load["running"].is_number_integer())
+  const auto Load = parseBoundedJson(valueOf(Reply), MaxReportBytes);
+  const auto Running =
+      Load ? numberMember<std::uint32_t>(*Load, "running", 0, MaxRunning)
+           : std::nullopt;
+  if (!Running)
     return;
   Known.NextPoll = Now + PollPeriod;
-  Known.Running = Load["running"].get<std::uint32_t>();
+  Known.Running = *Running;
   Known.At = Now;
-  const auto Leaving = Load.find("leaving");
-  if (Leaving != Load.end() && Leaving->is_boolean() && Leaving->get<bool>())
+  const auto Leaving = Load->find("leaving");
+  if (Leaving != Load->end() && Leaving->is_boolean() && Leaving->get<bool>())
     Context.Services.find<UpstreamDirectory>(service_name::Upstreams)
         ->markLeaving(Id);
 }
--- a/src/router/problem.cpp
+++ b/src/router/problem.cpp
@@ -1,6 +1,6 @@
 #include <mallowglade/detail/router/problem.hpp>
 
-#include <nlohmann/json.hpp>
+#include <mallowglade/settings.hpp>
 
 namespace mallowglade {
 
@@ -106,17 +106,20 @@
 } // namespace
 
 std::optional<Problem> parseProblem(const std::string &Json) {
-  const auto Document = nlohmann::json::parse(Json, nullptr, false);
-  if (!Document.is_object() || !Document.contains("error_id"))
+  constexpr std::size_t MaxProblemBytes = 65'536;
+  constexpr std::int64_t MaxRetryAfterSeconds = 86'400;
+  const auto Parsed = parseBoundedJson(Json, MaxProblemBytes);
+  if (!Parsed || !Parsed->is_object() || !Parsed->contains("error_id"))
     return std::nullopt;
+  const nlohmann::json &Document = *Parsed;
   Problem Failure;
   Failure.Reason.Id = parseErrorId(textAt(Document, "error_id"));
   Failure.Reason.Detail = textAt(Document, "detail");
   Failure.Outcome = parseVerdict(textAt(Document, "outcome"));
   Failure.Request = RequestId(textAt(Document, "request_id"));
-  const auto RetryAfter = Document.find("retry_after_s");
-  if (RetryAfter != Document.end() && RetryAfter->is_number())
-    Failure.RetryAfter = std::chrono::seconds(RetryAfter->get<std::int64_t>());
+  if (const auto RetryAfter = numberMember<std::int64_t>(
+          Document, "retry_after_s", 0, MaxRetryAfterSeconds))
+    Failure.RetryAfter = std::chrono::seconds(*RetryAfter);
   return Failure;
 }
 
--- a/src/router/upstream_call.cpp
+++ b/src/router/upstream_call.cpp
@@ -4,6 +4,7 @@
 
 #include <httplib.h>
 
+#include <algorithm>
 #include <charconv>
 #include <cmath>
 
@@ -41,8 +42,11 @@
   Head.Status = Response.status;
   Head.ContentType = Response.get_header_value("Content-Type");
   Head.Leaving = Response.get_header_value("X-Leaving") == "true";
-  Head.RetryAfterSeconds = std::strtoll(
-      Response.get_header_value("Retry-After").c_str(), nullptr, 10);
+  constexpr long long MaxRetryAfterSeconds = 3'600;
+  Head.RetryAfterSeconds =
+      std::clamp(std::strtoll(Response.get_header_value("Retry-After").c_str(),
+                              nullptr, 10),
+                 0LL, MaxRetryAfterSeconds);
   parseLimit(Response, Head);
   return Head;
 }
--- a/tests/unit-http1-parser.cpp
+++ b/tests/unit-http1-parser.cpp
@@ -70,6 +70,8 @@
   CPPUNIT_TEST(endOfConnectionDoesNotCompleteAResponse);
   CPPUNIT_TEST(responseWithoutLengthEndsWithTheConnection);
   CPPUNIT_TEST(hopByHopFieldsIncludeThoseNamedInConnection);
+  CPPUNIT_TEST(fieldNamesAreTokens);
+  CPPUNIT_TEST(spaceAroundAFieldValueIsNoPartOfIt);
   CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -160,6 +162,32 @@
     CPPUNIT_ASSERT(isHopByHop("Transfer-Encoding", Headers));
     CPPUNIT_ASSERT(!isHopByHop("X-Other", Headers));
   }
+
+  // Guards against request smuggling: other parsers take a name with a space
+  // before the colon for another field, or ignore it.
+  void fieldNamesAreTokens() {
+    for (const char *Field :
+         {"Transfer-Encoding : chunked", "Content-Length\t: 3", " A: b",
+          "A b: c", "A(b): c", ": c", "A\xc3: c"})
+      CPPUNIT_ASSERT_MESSAGE(Field,
+                             rejected("POST / HTTP/1.1\r\nHost: a\r\n" +
+                                      std::string(Field) + "\r\n\r\nabc"));
+    const ParseOutcome Response = parse(
+        HTTP_RESPONSE, "HTTP/1.1 200 OK\r\nContent-Length : 3\r\n\r\nabc");
+    CPPUNIT_ASSERT(Response.Failure == ParseError::Malformed);
+  }
+
+  // Guards against an id that is not recognised in the response, as the space
+  // after it was taken for a part of it.
+  void spaceAroundAFieldValueIsNoPartOfIt() {
+    Collector Sink;
+    MessageParser Parser(HTTP_REQUEST, MaxHeadBytes, Sink);
+    Parser.feed("GET / HTTP/1.1\r\nId: \t 7 8 \t \r\nEmpty:  \r\n\r\n");
+    CPPUNIT_ASSERT(Parser.complete());
+    const HeaderList &Fields = Parser.request().Headers;
+    CPPUNIT_ASSERT_EQUAL(std::string("7 8"), *Fields.find("id"));
+    CPPUNIT_ASSERT_EQUAL(std::string(), *Fields.find("empty"));
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(Http1ParserTest);
--- a/tests/unit-http1-server.cpp
+++ b/tests/unit-http1-server.cpp
@@ -91,6 +91,7 @@
   CPPUNIT_TEST(brokenOffResponseWithoutFramingEndsWithAReset);
   CPPUNIT_TEST(completeResponseWithoutFramingEndsWithoutAReset);
   CPPUNIT_TEST(responseToHeadHasNoBody);
+  CPPUNIT_TEST(pipelinedBytesDoNotEndTheConnection);
   CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -190,6 +191,39 @@
     std::error_code End;
     CPPUNIT_ASSERT(Fixture.readAll(End).ends_with("OK\r\n\r\n"));
   }
+
+  // Guards against a connection that is reset, and with it the answer that is
+  // being made, when more bytes are pipelined behind a request than the server
+  // reads ahead.
+  void pipelinedBytesDoNotEndTheConnection() {
+    StreamFixture Fixture(Request);
+    asio::ip::tcp::socket &Socket = Fixture.Socket;
+    std::string Pipelined;
+    while (Pipelined.size() < std::size_t(1) << 18U)
+      Pipelined += Request;
+    Socket.non_blocking(true);
+    std::size_t Sent = 0;
+    const auto SendSome = [&] {
+      std::error_code Error;
+      Sent += Socket.write_some(
+          asio::buffer(Pipelined.data() + Sent, Pipelined.size() - Sent),
+          Error);
+      Fixture.Context.restart();
+      Fixture.Context.run_for(std::chrono::milliseconds(10));
+      return !Error || Error == asio::error::would_block;
+    };
+    for (int Round = 0; Round < 20; ++Round)
+      CPPUNIT_ASSERT(SendSome());
+    CPPUNIT_ASSERT(!Fixture.Exchange->clientDisconnected());
+    // The requests behind it are read once it is answered.
+    const auto First = Fixture.Exchange;
+    Fixture.Exchange->send("rest");
+    Fixture.Exchange->finish();
+    for (int Round = 0; Round < 20 && Fixture.Exchange == First; ++Round)
+      CPPUNIT_ASSERT(SendSome());
+    CPPUNIT_ASSERT(Fixture.Exchange != First);
+    CPPUNIT_ASSERT(!Fixture.Exchange->clientDisconnected());
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(Http1ServerTest);
