--- a/include/mallowglade/detail/core/unpack_limit.hpp
+++ b/include/mallowglade/detail/core/unpack_limit.hpp
@@ -3,6 +3,7 @@
 #include <msgpack.hpp>
 
 #include <cstddef>
+#include <string_view>
 
 namespace mallowglade::detail {
 
@@ -19,4 +20,16 @@
           MessageBytes, MessageBytes, MaxNestingDepth};
 }
 
+/// @brief Checks a MessagePack message against these limits, for a decoder that
+///   has none.
+inline bool isBoundedMessage(std::string_view Bytes) {
+  try {
+    msgpack::unpack(Bytes.data(), Bytes.size(), nullptr, nullptr,
+                    unpackLimit(Bytes.size()));
+    return true;
+  } catch (const msgpack::unpack_error &) {
+    return false;
+  }
+}
+
 } // namespace mallowglade::detail
--- a/include/mallowglade/detail/platform/http_call.hpp
+++ b/include/mallowglade/detail/platform/http_call.hpp
@@ -2,6 +2,7 @@
 
 #include <mallowglade/core.hpp>
 
+#include <cstddef>
 #include <string>
 
 namespace mallowglade::detail {
@@ -16,6 +17,9 @@
   Milliseconds Timeout{};
 };
 
+/// Maximum size of a reply.
+inline constexpr std::size_t MaxHttpResponseBytes = 67'108'864;
+
 /// @brief Makes a call and waits for the reply.
 /// @return the reply's body; `platform.unavailable` if nothing was sent or the
 ///   status was not 200, `platform.timeout` if the call may have taken effect
--- a/include/mallowglade/detail/settings/bounded_json.hpp
+++ b/include/mallowglade/detail/settings/bounded_json.hpp
@@ -17,6 +17,9 @@
 /// printing a document recurse once for each level.
 inline constexpr std::size_t MaxJsonDepth = 64;
 
+/// Maximum size of a part of the settings.
+inline constexpr std::size_t MaxSettingsBytes = 16'777'216;
+
 /// @brief Checks how deeply the arrays and objects of a text are nested,
 /// without
 ///   parsing it.
--- a/src/platform/etcd_store.cpp
+++ b/src/platform/etcd_store.cpp
@@ -157,7 +157,9 @@
     return errorOf(Reply);
   const json &Document = valueOf(Reply);
   TransactionReply Outcome;
-  Outcome.Succeeded = Document.value("succeeded", false);
+  const auto Succeeded = Document.find("succeeded");
+  Outcome.Succeeded = Succeeded != Document.end() && Succeeded->is_boolean() &&
+                      Succeeded->get<bool>();
   if (Document.contains("header"))
     Outcome.At = Revision(numberOf(Document["header"], "revision"));
   return Outcome;
@@ -212,6 +214,8 @@
   Request.content_receiver = [&](const char *Data, std::size_t Size,
                                  std::uint64_t, std::uint64_t) {
     Buffer.append(Data, Size);
+    if (Buffer.size() > detail::MaxHttpResponseBytes)
+      return false;
     for (auto End = Buffer.find('\n'); End != std::string::npos && !Change;
          End = Buffer.find('\n')) {
       Change = parseWatchLine(Buffer.substr(0, End));
--- a/src/platform/http_call.cpp
+++ b/src/platform/http_call.cpp
@@ -18,6 +18,12 @@
   Request.path = Call.Path;
   Request.body = Call.Body;
   Request.set_header("Content-Type", "application/json");
+  std::string Body;
+  Request.content_receiver = [&Body](const char *Data, std::size_t Size,
+                                     std::uint64_t, std::uint64_t) {
+    Body.append(Data, Size);
+    return Body.size() <= MaxHttpResponseBytes;
+  };
   const httplib::Result Reply = Client.send(Request);
   if (!Reply) {
     const bool NotSent = Reply.error() == httplib::Error::Connection ||
@@ -28,7 +34,7 @@
   if (Reply->status != 200)
     return Error{ErrorId::Unavailable,
                  "status " + std::to_string(Reply->status), Call.Endpoint};
-  return Reply->body;
+  return Body;
 }
 
 } // namespace mallowglade::detail
--- a/src/router/settings_admin.cpp
+++ b/src/router/settings_admin.cpp
@@ -209,7 +209,8 @@
     return problemReply(errorOf(Entries));
   json Shown = json::array();
   for (const KeyValue &Entry : valueOf(Entries)) {
-    json Parsed = json::parse(Entry.Value, nullptr, false);
+    json Parsed =
+        parseBoundedJson(Entry.Value, MaxSettingsBytes).value_or(json());
     if (mayRead(valueOf(Operator), Parsed) && Parsed.contains("entry"))
       Shown.push_back(std::move(Parsed));
   }
--- a/src/router/settings_messages.cpp
+++ b/src/router/settings_messages.cpp
@@ -1,6 +1,6 @@
 #include <mallowglade/detail/router/settings_messages.hpp>
 
-#include <nlohmann/json.hpp>
+#include <mallowglade/detail/core/unpack_limit.hpp>
 
 namespace mallowglade {
 
@@ -16,10 +16,17 @@
 
 /// Returns null if the bytes are malformed.
 json unpack(std::string_view Bytes) {
+  // The library's reader recurses once for each level.
+  if (!detail::isBoundedMessage(Bytes))
+    return {};
   json Document = json::from_msgpack(Bytes, true, false);
   return Document.is_discarded() ? json() : Document;
 }
 
+std::optional<PackNumber> packNumberOf(const json &Value) {
+  return numberWithin<PackNumber>(Value, 0, settings_layout::PackCount - 1);
+}
+
 /// Runs a decoder; a member of a wrong type makes the message malformed.
 template <class T, class Decode>
 std::optional<T> guarded(std::string_view Bytes, Decode Decoder) {
@@ -45,8 +52,9 @@
     SettingsRequest Request;
     Request.VersionOnly = Document.at("version_only").get<bool>();
     for (const json &Item : Document.at("held"))
-      Request.HeldPacks[Item.at(0).get<PackNumber>()] =
-          SettingsVersion(Item.at(1).get<std::uint64_t>());
+      if (const auto Number = packNumberOf(Item.at(0)))
+        Request.HeldPacks[*Number] =
+            SettingsVersion(Item.at(1).get<std::uint64_t>());
     return Request;
   });
 }
@@ -71,8 +79,9 @@
       Reply.Version = SettingsVersion(Document["version"].get<std::uint64_t>());
     for (const json &Item : Document.at("packs")) {
       const auto Pack = parsePack(Item.at(1).get_ref<const std::string &>());
-      if (isOk(Pack))
-        Reply.Packs[Item.at(0).get<PackNumber>()] = valueOf(Pack);
+      const auto Number = packNumberOf(Item.at(0));
+      if (isOk(Pack) && Number)
+        Reply.Packs[*Number] = valueOf(Pack);
     }
     if (!Document.contains("head"))
       return Reply;
--- a/src/settings/audit.cpp
+++ b/src/settings/audit.cpp
@@ -1,5 +1,6 @@
 #include <mallowglade/detail/settings/audit.hpp>
 
+#include <mallowglade/detail/settings/bounded_json.hpp>
 #include <mallowglade/detail/settings/snapshot.hpp>
 
 #include <fmt/chrono.h>
@@ -79,7 +80,8 @@
 
 Result<AuditHead> parseAuditHead(std::string_view Text) {
   try {
-    return readAuditHead(json::parse(Text));
+    return readAuditHead(
+        parseBoundedJson(Text, MaxSettingsBytes).value_or(json()));
   } catch (const json::exception &) {
     return Error{ErrorId::InvalidJson, "malformed audit head", ""};
   }
--- a/src/settings/snapshot.cpp
+++ b/src/settings/snapshot.cpp
@@ -1,3 +1,4 @@
+#include <mallowglade/detail/settings/bounded_json.hpp>
 #include <mallowglade/detail/settings/snapshot.hpp>
 
 #include <fmt/format.h>
@@ -61,7 +62,8 @@
 }
 
 Result<SettingsHead> parseHead(std::string_view Text) {
-  const json Document = json::parse(Text, nullptr, false);
+  const json Document =
+      parseBoundedJson(Text, MaxSettingsBytes).value_or(json());
   const bool Valid = hasVersion(Document, "version") &&
                      Document.contains("packs") &&
                      Document["packs"].is_object();
@@ -89,7 +91,8 @@
 }
 
 Result<SettingsPack> parsePack(std::string_view Text) {
-  const json Document = json::parse(Text, nullptr, false);
+  const json Document =
+      parseBoundedJson(Text, MaxSettingsBytes).value_or(json());
   const bool Valid = hasVersion(Document, "version") &&
                      Document.contains("branches") &&
                      Document["branches"].is_object();
