Keep the grace period when SIGTERM is repeated

Cause: the second signal of any kind ended the event loops at once. Change: a repeated SIGTERM changes nothing; a second SIGINT, from a terminal, still ends the process at once.

--- a/src/dataplane/node.cpp
+++ b/src/dataplane/node.cpp
@@ -95,10 +95,11 @@
         return;
       if (Signal == SIGHUP)
         reload();
-      else if (ShuttingDown)
-        stopEventLoops();
-      else
+      else if (!ShuttingDown)
         beginShutdown();
+      // A platform may repeat SIGTERM; the grace period stays as it is.
+      else if (Signal == SIGINT)
+        stopEventLoops();
       waitForSignal();
     });
   }
--- a/tests/integration/test-node.cpp
+++ b/tests/integration/test-node.cpp
@@ -7,6 +7,7 @@
   CPPUNIT_TEST(requestsOfAllKindsAreServed);
   CPPUNIT_TEST(streamsThatBreakOffAreResumed);
   CPPUNIT_TEST(shutdownInterruptsNoRequest);
+  CPPUNIT_TEST(repeatedSignalInterruptsNoRequest);
   CPPUNIT_TEST(killedNodeIsNotResolved);
   CPPUNIT_TEST(revokedKeyIsRejected);
   CPPUNIT_TEST(drainingUpstreamGetsNoNewRequests);
@@ -82,6 +83,28 @@
     CPPUNIT_ASSERT_EQUAL(0, Fleet.Nodes[0]->wait());
   }
 
+  // Guards against a platform that signals again before the grace period is
+  // over: the requests that are being answered still have their time.
+  void repeatedSignalInterruptsNoRequest() {
+    Deployment Fleet;
+    std::string Body;
+    std::thread Reader([&Body] {
+      auto Caller = Deployment::clientOf(0);
+      const auto Stream = Caller.Post(
+          "/stream/x", Deployment::requestHeaders("r1"), "b", "text/plain");
+      if (Stream)
+        Body = Stream->body;
+    });
+    std::this_thread::sleep_for(milliseconds(100));
+    for (int Signal = 0; Signal < 3; ++Signal) {
+      Fleet.Nodes[0]->signal(SIGTERM);
+      std::this_thread::sleep_for(milliseconds(30));
+    }
+    Reader.join();
+    CPPUNIT_ASSERT(Body.ends_with("id: 10\ndata: e10\n\n"));
+    CPPUNIT_ASSERT_EQUAL(0, Fleet.Nodes[0]->wait());
+  }
+
   // Guards against callers that are directed to a router that was killed.
   void killedNodeIsNotResolved() {
     Deployment Fleet;
