--- a/tests/unit-platform-store.cpp
+++ b/tests/unit-platform-store.cpp
@@ -144,6 +144,7 @@
   std::atomic<unsigned> ForeignLeaseCalls{0};
   std::atomic<unsigned> Registrations{0};
   int Port = 0;
+  std::uint64_t Era = 1;
 
 private:
   json makeItem(const std::string &Key, const std::string &Value) {
@@ -259,7 +260,6 @@
   std::int64_t OldestRevision = 10;
   std::map<std::int64_t, std::string> LeaseHolders;
   std::int64_t LastLease = 0;
-  std::uint64_t Era = 1;
 };
 
 struct StoreFixture {
@@ -365,6 +365,7 @@
   CPPUNIT_TEST(foreignQuarantineEntriesAreSkipped);
   CPPUNIT_TEST(responsesOfAnotherFormAreErrors);
   CPPUNIT_TEST(endlessResponseIsAnError);
+  CPPUNIT_TEST(firstEraIsKnown);
   CPPUNIT_TEST(oddEntriesLeaveTheOthersInUse);
   CPPUNIT_TEST(oddKeysAtTheEndOfAPageLeaveTheOthers);
   CPPUNIT_TEST(oddValuesAreNotBase64);
@@ -627,6 +628,22 @@
     CPPUNIT_ASSERT(errorOf(Read).Detail.find("exceeds") != std::string::npos);
   }
 
+  // Guards against a first restoration that is not noticed: the platform counts
+  // from 0, which must not be taken for an era that nobody told.
+  void firstEraIsKnown() {
+    StoreFixture F;
+    F.Platform.Era = 0;
+    const PagedStore::Copy Earlier = F.Platform.copy();
+    const auto First = F.read();
+    CPPUNIT_ASSERT(isOk(First));
+    CPPUNIT_ASSERT(valueOf(First).Era.Value != 0);
+    F.Platform.restore(Earlier);
+    F.read();
+    const auto Second = F.read();
+    CPPUNIT_ASSERT(isOk(Second));
+    CPPUNIT_ASSERT(valueOf(Second).Era > valueOf(First).Era);
+  }
+
   // Guards against a router that one entry of another writer ends, or keeps
   // from following the list: the valid entries beside it hold, and so do later
   // changes.
