Confirm eras in the store, for fleets that restart in a restoration

Cause: a router that starts knows no earlier era, and without another one it took the copy for the current state. Change: routers write `eras/confirmed` once their reads of an era prove the configuration. A router that starts in another era than that one waits for the operator, the hold time, or a router with proof.

--- a/include/mallowglade/detail/dataplane/control.hpp
+++ b/include/mallowglade/detail/dataplane/control.hpp
@@ -69,6 +69,9 @@
   /// @brief Drops what was read before the store came back from a copy, and
   ///   reads it again soon.
   void onStoreRestored(StoreEra Next);
+  /// @brief Stores that the era of a read is confirmed, for routers that start
+  ///   when no other one runs.
+  void confirmEra(const FleetState &Read);
   void sendReport();
   void sendDatagrams(const std::vector<std::string> &Addresses,
                      const std::string &Bytes);
@@ -147,6 +150,7 @@
   StoreEra KnownEra;
   /// Era of the store in which `View` was read.
   StoreEra ViewEra;
+  TimePoint NextEraConfirmation{};
   /// True while the store holds an older configuration than the fleet.
   bool ConfigBehind = false;
   /// Hash over the era, the configuration version and the upstreams in `View`.
--- a/include/mallowglade/detail/dataplane/fleet_state.hpp
+++ b/include/mallowglade/detail/dataplane/fleet_state.hpp
@@ -50,6 +50,9 @@
 struct FleetState {
   /// Era of the store in which the state was read.
   StoreEra Era;
+  /// Latest era that a router has confirmed: its configuration is known to be
+  /// current. Restored with the store, and then earlier than `Era`.
+  StoreEra ConfirmedEra;
   /// Null until the operator has written a configuration.
   std::shared_ptr<const Configuration> Config;
   /// Latest write of the configuration.
@@ -85,6 +88,8 @@
   changeQuarantines(const std::map<RequestFeature, QuarantineEntry> &Write,
                     const std::vector<RequestFeature> &Remove,
                     std::function<void(Result<Success>)> Done) = 0;
+  /// @brief Writes that the configuration of an era is known to be current.
+  virtual void confirmEra(StoreEra Era) = 0;
   /// Limit on the entries of one change.
   static constexpr std::size_t MaxQuarantineChanges = 32;
 };
--- a/include/mallowglade/detail/dataplane/restoration_proof.hpp
+++ b/include/mallowglade/detail/dataplane/restoration_proof.hpp
@@ -10,6 +10,8 @@
   bool ProofHeld = false;
   /// A router has not read this era yet and knows an earlier one.
   bool EarlierEra = false;
+  /// A router says that its reads of this era prove its configuration.
+  bool Proven = false;
 };
 
 /// @brief Decides whether reads of a restored metadata store prove that its
@@ -18,7 +20,9 @@
 /// The store may have lost a configuration that no router has read, and with it
 /// the withdrawal of a credential. After a restoration, reads prove nothing
 /// until the operator has written a configuration again, or has had the time to
-/// do so.
+/// do so. A router that starts in an era other than the one that the store says
+/// is confirmed assumes that it was restored just now, unless another router
+/// has proof.
 class RestorationProof {
 public:
   /// @param HoldTime time that the operator has to write again what was lost
@@ -38,6 +42,8 @@
   /// True if this router, or another one that it heard when it first read the
   /// current era, knows an earlier one.
   bool SawRestoration = false;
+  /// True if this router has read no earlier era.
+  bool Started = false;
   /// True once the configuration was written in the current era.
   bool Rewritten = false;
   bool Held = false;
--- a/src/dataplane/control.cpp
+++ b/src/dataplane/control.cpp
@@ -27,6 +27,8 @@
 constexpr int RegisteredPeerWaitPeriods = 5;
 /// Minimum time between changes of the quarantines in the store.
 constexpr Milliseconds QuarantineChangePeriod{1'000};
+/// Minimum time between attempts to store that an era is confirmed.
+constexpr Milliseconds EraConfirmationPeriod{1'000};
 /// Period of registration renewals; the lease lasts for three periods.
 constexpr Milliseconds RegistrationRenewalPeriod{3'000};
 /// Period of the check for received datagrams.
@@ -299,6 +301,8 @@
   const bool Proves =
       acceptConfiguration(KnownConfig, std::move(Read.Config)) && IsCurrent;
   ReadPolicy.recordRead(ReadStart, Proves);
+  if (Proves)
+    confirmEra(Read);
   View.ProvenAt = ReadPolicy.provenAt();
   const std::uint64_t PreviousFingerprint = Fingerprint;
   Fingerprint = stateFingerprint(View, ViewEra);
@@ -308,6 +312,16 @@
     sendReport();
 }
 
+void Control::confirmEra(const FleetState &Read) {
+  const TimePoint Now = Time.now();
+  const bool Confirmed = Read.Era.Value == 0 || Read.ConfirmedEra == Read.Era;
+  if (Confirmed || Peers.zoneRank() > 0 || Now < NextEraConfirmation)
+    return;
+  NextEraConfirmation = Now + EraConfirmationPeriod;
+  Log.write("store_era_confirmed", {{"era", std::int64_t(Read.Era.Value)}});
+  Store.confirmEra(Read.Era);
+}
+
 void Control::publishState() {
   View.Routers = Peers.liveRouters();
   TrafficTasks.postToTraffic(
--- a/src/dataplane/peer_directory.cpp
+++ b/src/dataplane/peer_directory.cpp
@@ -376,6 +376,7 @@
   PeerEraReports Found;
   const auto Add = [&Found, Era](const PeerReport &Report) {
     Found.ProofHeld |= Report.Era == Era && Report.ProofHeld;
+    Found.Proven |= Report.Era == Era && !Report.ProofHeld && Report.Proof;
     Found.EarlierEra |= Report.Era.Value != 0 && Report.Era < Era;
   };
   for (const auto &[Id, Router] : Peers)
--- a/src/dataplane/restoration_proof.cpp
+++ b/src/dataplane/restoration_proof.cpp
@@ -8,6 +8,7 @@
       Read.Config ? Read.Config->Version : ConfigurationVersion();
   if (Read.Era != Era) {
     SawRestoration = Era.Value != 0 || Peers.EarlierEra;
+    Started = Era.Value == 0;
     Era = Read.Era;
     RestoredAt = Now;
     FirstVersion = Version;
@@ -19,8 +20,13 @@
              Read.ConfigWrittenAt != FirstWrittenAt) {
     Rewritten = true;
   }
-  const bool MayBeOld =
-      SawRestoration ? Now - RestoredAt < HoldTime : Peers.ProofHeld;
+  // The store that a fleet starts with for the first time has no confirmation.
+  const bool Unconfirmed = Started && !Peers.Proven &&
+                           Read.ConfirmedEra.Value != 0 &&
+                           Read.ConfirmedEra != Read.Era;
+  const bool MayBeOld = SawRestoration || Unconfirmed
+                            ? Now - RestoredAt < HoldTime
+                            : Peers.ProofHeld;
   Held = MayBeOld && !Rewritten;
   return !Held;
 }
--- a/tests/unit-dataplane-control.cpp
+++ b/tests/unit-dataplane-control.cpp
@@ -77,6 +77,7 @@
     asio::post(Context, [Done = std::move(Done)] { Done(Success()); });
   }
   void observeEra(StoreEra Era) override { ObservedEra = Era; }
+  void confirmEra(StoreEra Era) override { State.ConfirmedEra = Era; }
 
   StoreEra ObservedEra;
   unsigned ReadCount = 0;
--- a/tests/unit-dataplane-restoration-proof.cpp
+++ b/tests/unit-dataplane-restoration-proof.cpp
@@ -43,6 +43,8 @@
   CPPUNIT_TEST(eachRestorationBeginsAHold);
   CPPUNIT_TEST(startedRouterFollowsTheOthers);
   CPPUNIT_TEST(startedRouterHearsOfTheEarlierEra);
+  CPPUNIT_TEST(fleetThatStartsInALaterEraProvesNothing);
+  CPPUNIT_TEST(confirmedEraIsProvenAtOnce);
   CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -109,6 +111,45 @@
     CPPUNIT_ASSERT(!Started.record(makeState(2, 5, 7), {}, Now));
     CPPUNIT_ASSERT(Started.record(makeState(2, 5, 7), {}, Now + HoldTime));
   }
+
+  // Guards against accepting a withdrawn credential after all routers were
+  // restarted in a restoration: the copy is all that they know.
+  void fleetThatStartsInALaterEraProvesNothing() {
+    RestorationProof Started(HoldTime);
+    TimePoint Now{std::chrono::hours(1)};
+    FleetState Copy = makeState(2, 5, 7);
+    Copy.ConfirmedEra = StoreEra(1);
+    FleetState Written = makeState(2, 5, 9);
+    Written.ConfirmedEra = StoreEra(1);
+    for (int Read = 0; Read < 10; ++Read)
+      CPPUNIT_ASSERT(!Started.record(Copy, {}, Now += Milliseconds(500)));
+    CPPUNIT_ASSERT(Started.held());
+    // The operator has written again.
+    CPPUNIT_ASSERT(Started.record(Written, {}, Now += Milliseconds(500)));
+    // Without the operator, the hold ends.
+    RestorationProof Other(HoldTime);
+    CPPUNIT_ASSERT(!Other.record(Copy, {}, Now));
+    CPPUNIT_ASSERT(Other.record(Copy, {}, Now + HoldTime));
+  }
+
+  // Guards against refusing credentials after each restart of a fleet whose
+  // store was restored some time before.
+  void confirmedEraIsProvenAtOnce() {
+    const TimePoint Now{std::chrono::hours(1)};
+    FleetState Read = makeState(2, 5, 7);
+    Read.ConfirmedEra = StoreEra(2);
+    CPPUNIT_ASSERT(RestorationProof(HoldTime).record(Read, {}, Now));
+    // A copy holds the confirmation of an earlier era.
+    Read.ConfirmedEra = StoreEra(1);
+    CPPUNIT_ASSERT(!RestorationProof(HoldTime).record(Read, {}, Now));
+    // Another router has proof.
+    PeerEraReports Peers;
+    Peers.Proven = true;
+    CPPUNIT_ASSERT(RestorationProof(HoldTime).record(Read, Peers, Now));
+    // A fleet starts with this store for the first time, in whatever era.
+    CPPUNIT_ASSERT(
+        RestorationProof(HoldTime).record(makeState(3, 5, 7), {}, Now));
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(RestorationProofTest);
--- a/tests/unit-platform-store.cpp
+++ b/tests/unit-platform-store.cpp
@@ -366,6 +366,7 @@
   CPPUNIT_TEST(responsesOfAnotherFormAreErrors);
   CPPUNIT_TEST(endlessResponseIsAnError);
   CPPUNIT_TEST(firstEraIsKnown);
+  CPPUNIT_TEST(confirmedEraIsRead);
   CPPUNIT_TEST(oddEntriesLeaveTheOthersInUse);
   CPPUNIT_TEST(oddKeysAtTheEndOfAPageLeaveTheOthers);
   CPPUNIT_TEST(oddValuesAreNotBase64);
@@ -644,6 +645,20 @@
     CPPUNIT_ASSERT(valueOf(Second).Era > valueOf(First).Era);
   }
 
+  // Guards against a fleet that refuses credentials after each restart, as it
+  // does not find that the era was confirmed.
+  void confirmedEraIsRead() {
+    StoreFixture F;
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t{0},
+                         valueOf(F.read()).ConfirmedEra.Value);
+    F.Platform.putBytes("eras/confirmed", "2");
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t{2},
+                         valueOf(F.read()).ConfirmedEra.Value);
+    F.Platform.putBytes("eras/confirmed", "x");
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t{0},
+                         valueOf(F.read()).ConfirmedEra.Value);
+  }
+
   // Guards against a router that one entry of another writer ends, or keeps
   // from following the list: the valid entries beside it hold, and so do later
   // changes.
