Bound the heads of engines' responses and of platform replies in router

Cause: the client of the HTTP library takes a head of any length, in requests to engines and in the poll of their load. Change: http1::BlockingExchange, one exchange on a connection of its own with the parser that `node` uses, replaces the library's client in callUpstream and callHttp.

--- a/include/mallowglade/http1.hpp
+++ b/include/mallowglade/http1.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <mallowglade/detail/http1/blocking_call.hpp>
 #include <mallowglade/detail/http1/event_stream.hpp>
 #include <mallowglade/detail/http1/message.hpp>
 #include <mallowglade/detail/http1/message_parser.hpp>
--- a/src/platform/http_call.cpp
+++ b/src/platform/http_call.cpp
@@ -1,40 +1,58 @@
 #include <mallowglade/detail/platform/http_call.hpp>
 
+#include <mallowglade/http1.hpp>
 #include <mallowglade/settings.hpp>
 
-#include <httplib.h>
-
 namespace mallowglade::detail {
 
-Result<std::string> callHttp(const HttpCall &Call) {
-  const HostPort Address = splitAddress(Call.Endpoint);
-  httplib::Client Client(Address.Host, Address.Port);
-  Client.set_connection_timeout(Call.Timeout);
-  Client.set_read_timeout(Call.Timeout);
-  Client.set_write_timeout(Call.Timeout);
-  Client.set_tcp_nodelay(true);
-  httplib::Request Request;
-  Request.method = Call.Method;
-  Request.path = Call.Path;
-  Request.body = Call.Body;
-  Request.set_header("Content-Type", "application/json");
-  std::string Body;
-  Request.content_receiver = [&Body](const char *Data, std::size_t Size,
-                                     std::uint64_t, std::uint64_t) {
-    Body.append(Data, Size);
+namespace {
+
+/// Collects a reply up to its maximum size.
+class ReplyCollector final : public http1::BlockingReceiver {
+public:
+  void onHead(const http1::ResponseHead &Head) override {
+    Status = Head.Status;
+  }
+  bool onBody(std::string_view Data) override {
+    Body.append(Data);
     return Body.size() <= MaxHttpResponseBytes;
-  };
-  const httplib::Result Reply = Client.send(Request);
-  if (!Reply) {
-    const bool NotSent = Reply.error() == httplib::Error::Connection ||
-                         Reply.error() == httplib::Error::ConnectionTimeout;
-    return Error{NotSent ? ErrorId::Unavailable : ErrorId::Timeout,
-                 httplib::to_string(Reply.error()), Call.Endpoint};
   }
-  if (Reply->status != 200)
-    return Error{ErrorId::Unavailable,
-                 "status " + std::to_string(Reply->status), Call.Endpoint};
-  return Body;
+
+  unsigned Status = 0;
+  std::string Body;
+};
+
+std::string serialize(const HttpCall &Call) {
+  std::string Message = Call.Method + " " + Call.Path + " HTTP/1.1\r\n";
+  http1::appendField(Message, "Host", Call.Endpoint);
+  http1::appendField(Message, "Content-Type", "application/json");
+  http1::appendField(Message, "Content-Length",
+                     std::to_string(Call.Body.size()));
+  http1::appendField(Message, "Connection", "close");
+  return Message + "\r\n" + Call.Body;
+}
+
+} // namespace
+
+Result<std::string> callHttp(const HttpCall &Call) {
+  const HostPort Address = splitAddress(Call.Endpoint);
+  ReplyCollector Reply;
+  http1::BlockingExchange Exchange;
+  const http1::BlockingEnd End = Exchange.run(
+      {Address.Host, Address.Port, serialize(Call), Call.Timeout, Call.Timeout},
+      Reply);
+  if (End == http1::BlockingEnd::NotConnected)
+    return Error{ErrorId::Unavailable, "no connection", Call.Endpoint};
+  if (End != http1::BlockingEnd::Complete)
+    return Error{ErrorId::Timeout,
+                 End == http1::BlockingEnd::Silent ? "no reply"
+                                                   : "broken reply",
+                 Call.Endpoint};
+  constexpr unsigned StatusOk = 200;
+  if (Reply.Status != StatusOk)
+    return Error{ErrorId::Unavailable, "status " + std::to_string(Reply.Status),
+                 Call.Endpoint};
+  return std::move(Reply.Body);
 }
 
 } // namespace mallowglade::detail
--- a/src/router/upstream_call.cpp
+++ b/src/router/upstream_call.cpp
@@ -1,9 +1,8 @@
 #include <mallowglade/detail/router/upstream_call.hpp>
 
+#include <mallowglade/http1.hpp>
 #include <mallowglade/settings.hpp>
 
-#include <httplib.h>
-
 #include <algorithm>
 #include <charconv>
 #include <cmath>
@@ -12,20 +11,19 @@
 
 namespace {
 
-constexpr int ServiceUnavailable = 503;
-
+constexpr unsigned ServiceUnavailable = 503;
 constexpr const char *LimitHeader = "Server-Limit";
 
 /// Reads the limit of a response. A field that is no decimal number, or fields
 /// that disagree, say nothing.
-void parseLimit(const httplib::Response &Response, UpstreamHead &Head) {
-  for (std::size_t Index = 0;
-       Index < Response.get_header_value_count(LimitHeader); ++Index) {
-    const std::string Text = Response.get_header_value(LimitHeader, Index);
+void parseLimit(const http1::HeaderList &Fields, UpstreamHead &Head) {
+  for (const http1::HeaderField &Field : Fields.fields()) {
+    if (!http1::equalsIgnoreCase(Field.Name, LimitHeader))
+      continue;
     double Value = 0;
-    const char *const End = Text.data() + Text.size();
-    const auto [Rest, Failure] =
-        std::from_chars(Text.data(), End, Value, std::chars_format::fixed);
+    const char *const End = Field.Value.data() + Field.Value.size();
+    const auto [Rest, Failure] = std::from_chars(Field.Value.data(), End, Value,
+                                                 std::chars_format::fixed);
     const bool Readable = Failure == std::errc() && Rest == End &&
                           std::isfinite(Value) && Value >= 0;
     if (!Readable || (Head.Rate && Head.Rate->Value != Value))
@@ -37,38 +35,55 @@
     Head.Rate.reset();
 }
 
-UpstreamHead parseHead(const httplib::Response &Response) {
-  UpstreamHead Head;
-  Head.Status = Response.status;
-  Head.ContentType = Response.get_header_value("Content-Type");
-  Head.Leaving = Response.get_header_value("X-Leaving") == "true";
+UpstreamHead parseHead(const http1::ResponseHead &Response) {
   constexpr long long MaxRetryAfterSeconds = 3'600;
+  const auto ValueOf = [&Response](std::string_view Name) {
+    const std::string *Value = Response.Headers.find(Name);
+    return Value == nullptr ? std::string() : *Value;
+  };
+  UpstreamHead Head;
+  Head.Status = static_cast<int>(Response.Status);
+  Head.ContentType = ValueOf("Content-Type");
+  Head.Leaving = ValueOf("X-Leaving") == "true";
   Head.RetryAfterSeconds =
-      std::clamp(std::strtoll(Response.get_header_value("Retry-After").c_str(),
-                              nullptr, 10),
-                 0LL, MaxRetryAfterSeconds);
-  parseLimit(Response, Head);
+      std::clamp(std::strtoll(ValueOf("Retry-After").c_str(), nullptr, 10), 0LL,
+                 MaxRetryAfterSeconds);
+  parseLimit(Response.Headers, Head);
   return Head;
 }
 
-httplib::Request makeRequest(const UpstreamRequest &Request) {
-  httplib::Request Message;
-  Message.method = Request.Method;
-  Message.path = Request.Target;
-  Message.body = Request.Body;
+std::string serialize(const std::string &Host, const UpstreamRequest &Request) {
+  std::string Message = Request.Method + " " + Request.Target + " HTTP/1.1\r\n";
+  http1::appendField(Message, "Host", Host);
   for (const auto &[Name, Value] : Request.Headers)
-    Message.set_header(Name, Value);
-  return Message;
+    if (!http1::equalsIgnoreCase(Name, "host") &&
+        !http1::equalsIgnoreCase(Name, "content-length"))
+      http1::appendField(Message, Name, Value);
+  if (!Request.Body.empty() || Request.Method != "GET")
+    http1::appendField(Message, "Content-Length",
+                       std::to_string(Request.Body.size()));
+  http1::appendField(Message, "Connection", "close");
+  return Message + "\r\n" + Request.Body;
 }
 
-AttemptEnd classify(httplib::Error Failure, std::chrono::nanoseconds SinceByte,
-                    Milliseconds GapLimit) {
-  if (Failure == httplib::Error::Connection ||
-      Failure == httplib::Error::ConnectionTimeout)
-    return AttemptEnd::ConnectFailed;
-  return SinceByte >= GapLimit ? AttemptEnd::Silent
-                               : AttemptEnd::ConnectionLost;
-}
+/// Passes a response on, but not the body of a refusal.
+class Relay final : public http1::BlockingReceiver {
+public:
+  explicit Relay(const UpstreamReceiver &Receiver) : Receiver(Receiver) {}
+
+  void onHead(const http1::ResponseHead &Head) override {
+    Refused = Head.Status == ServiceUnavailable;
+    Receiver.OnHead(parseHead(Head));
+  }
+  bool onBody(std::string_view Data) override {
+    return Refused || Receiver.OnBytes(Data);
+  }
+  bool refused() const { return Refused; }
+
+private:
+  const UpstreamReceiver &Receiver;
+  bool Refused = false;
+};
 
 } // namespace
 
@@ -95,45 +110,31 @@
                         const UpstreamReceiver &Receiver,
                         CallCancellation *Cancellation) {
   const HostPort Target = splitAddress(Address);
-  httplib::Client Client(Target.Host, Target.Port);
-  Client.set_connection_timeout(Limits.ConnectTimeout);
-  Client.set_read_timeout(Limits.GapLimit);
-  Client.set_write_timeout(Limits.GapLimit);
-  Client.set_tcp_nodelay(true);
-  Client.set_decompress(false);
-  auto LastByte = std::chrono::steady_clock::now();
-  bool Refused = false;
-  httplib::Request Message = makeRequest(Request);
-  Message.response_handler = [&](const httplib::Response &Response) {
-    LastByte = std::chrono::steady_clock::now();
-    Refused = Response.status == ServiceUnavailable;
-    Receiver.OnHead(parseHead(Response));
-    return true;
+  const auto Cancelled = [Cancellation] {
+    return Cancellation != nullptr && Cancellation->cancelled();
   };
-  Message.content_receiver = [&](const char *Data, std::size_t Size,
-                                 std::uint64_t, std::uint64_t) {
-    LastByte = std::chrono::steady_clock::now();
-    const bool Wanted = Refused || Receiver.OnBytes({Data, Size});
-    return Wanted && (Cancellation == nullptr || !Cancellation->cancelled());
-  };
-  if (Cancellation != nullptr) {
-    Cancellation->setAction([&Client] { Client.stop(); });
-    if (Cancellation->cancelled()) {
-      Cancellation->setAction(nullptr);
-      return AttemptEnd::Cancelled;
-    }
-  }
-  const httplib::Result Reply = Client.send(Message);
+  http1::BlockingExchange Exchange;
+  if (Cancellation != nullptr)
+    Cancellation->setAction([&Exchange] { Exchange.interrupt(); });
+  Relay Receiving(Receiver);
+  const http1::BlockingEnd End =
+      Cancelled()
+          ? http1::BlockingEnd::Broken
+          : Exchange.run({Target.Host, Target.Port, serialize(Address, Request),
+                          Limits.ConnectTimeout, Limits.GapLimit},
+                         Receiving);
   if (Cancellation != nullptr)
     Cancellation->setAction(nullptr);
-  if (Refused)
+  if (Receiving.refused())
     return AttemptEnd::Refused;
-  if (Reply)
+  if (End == http1::BlockingEnd::Complete)
     return AttemptEnd::Answered;
-  if (Cancellation != nullptr && Cancellation->cancelled())
+  if (Cancelled())
     return AttemptEnd::Cancelled;
-  return classify(Reply.error(), std::chrono::steady_clock::now() - LastByte,
-                  Limits.GapLimit);
+  if (End == http1::BlockingEnd::NotConnected)
+    return AttemptEnd::ConnectFailed;
+  return End == http1::BlockingEnd::Silent ? AttemptEnd::Silent
+                                           : AttemptEnd::ConnectionLost;
 }
 
 } // namespace mallowglade
--- a/tests/integration/fleet.hpp
+++ b/tests/integration/fleet.hpp
@@ -48,6 +48,8 @@
   /// Waits for the end.
   /// @return exit status, 128 + signal, or -1 if the process still runs
   int wait(Milliseconds Limit = WaitLimit);
+  /// @return id of the process
+  pid_t id() const { return Pid; }
   /// @return user and system time used so far
   Milliseconds cpuTime() const;
 
