--- a/include/mallowglade/detail/http1/blocking_call.hpp
+++ b/include/mallowglade/detail/http1/blocking_call.hpp
@@ -20,6 +20,8 @@
   std::chrono::milliseconds ConnectTimeout{};
   /// Longest silence of the connection.
   std::chrono::milliseconds SilenceLimit{};
+  /// True if the response to this method has no body.
+  bool WithoutBody = false;
 };
 
 /// @brief Receives a response, on the calling thread.
--- a/src/http1/blocking_call.cpp
+++ b/src/http1/blocking_call.cpp
@@ -26,8 +26,11 @@
 /// Parses a response and passes it on, as far as it is wanted.
 class ResponseSink final : public MessageSink {
 public:
-  explicit ResponseSink(BlockingReceiver &Receiver)
-      : Receiver(Receiver), Parser(HTTP_RESPONSE, MaxHeadBytes, *this) {}
+  ResponseSink(BlockingReceiver &Receiver, bool WithoutBody)
+      : Receiver(Receiver), Parser(HTTP_RESPONSE, MaxHeadBytes, *this),
+        WithoutBody(WithoutBody) {
+    Parser.reset(WithoutBody);
+  }
 
   /// @return false if no more bytes are wanted
   bool feed(std::string_view Bytes) {
@@ -42,7 +45,7 @@
       if (Parser.complete()) {
         Complete = Parser.response().Status >= FirstFinalStatus;
         if (!Complete)
-          Parser.reset();
+          Parser.reset(WithoutBody);
       } else if (Consumed == 0) {
         return false;
       }
@@ -69,6 +72,7 @@
 
   BlockingReceiver &Receiver;
   MessageParser Parser;
+  bool WithoutBody;
   std::uint64_t Received = 0;
   std::uint64_t BodyBytes = 0;
   bool Complete = false;
@@ -154,7 +158,7 @@
                                   BlockingReceiver &Receiver) {
   if (!connect(Call))
     return BlockingEnd::NotConnected;
-  ResponseSink Sink(Receiver);
+  ResponseSink Sink(Receiver, Call.WithoutBody);
   auto LastByte = std::chrono::steady_clock::now();
   bool Open = !Interrupted && send(Call.Message, Call.SilenceLimit);
   std::array<char, ReadBytes> Bytes{};
--- a/src/platform/http_call.cpp
+++ b/src/platform/http_call.cpp
@@ -38,9 +38,10 @@
   const HostPort Address = splitAddress(Call.Endpoint);
   ReplyCollector Reply;
   http1::BlockingExchange Exchange;
-  const http1::BlockingEnd End = Exchange.run(
-      {Address.Host, Address.Port, serialize(Call), Call.Timeout, Call.Timeout},
-      Reply);
+  const http1::BlockingEnd End =
+      Exchange.run({Address.Host, Address.Port, serialize(Call), Call.Timeout,
+                    Call.Timeout, false},
+                   Reply);
   if (End == http1::BlockingEnd::NotConnected)
     return Error{ErrorId::Unavailable, "no connection", Call.Endpoint};
   if (End != http1::BlockingEnd::Complete)
--- a/src/router/upstream_call.cpp
+++ b/src/router/upstream_call.cpp
@@ -59,7 +59,8 @@
     if (!http1::equalsIgnoreCase(Name, "host") &&
         !http1::equalsIgnoreCase(Name, "content-length"))
       http1::appendField(Message, Name, Value);
-  if (!Request.Body.empty() || Request.Method != "GET")
+  if (!Request.Body.empty() ||
+      (Request.Method != "GET" && Request.Method != "HEAD"))
     http1::appendField(Message, "Content-Length",
                        std::to_string(Request.Body.size()));
   http1::appendField(Message, "Connection", "close");
@@ -121,7 +122,8 @@
       Cancelled()
           ? http1::BlockingEnd::Broken
           : Exchange.run({Target.Host, Target.Port, serialize(Address, Request),
-                          Limits.ConnectTimeout, Limits.GapLimit},
+                          Limits.ConnectTimeout, Limits.GapLimit,
+                          Request.Method == "HEAD"},
                          Receiving);
   if (Cancellation != nullptr)
     Cancellation->setAction(nullptr);
--- a/tests/integration/test-foreign-bytes.cpp
+++ b/tests/integration/test-foreign-bytes.cpp
@@ -42,6 +42,7 @@
   CPPUNIT_TEST(errorInMidStreamReachesNoCaller);
   CPPUNIT_TEST(streamWithoutIdsIsNotBegunAgain);
   CPPUNIT_TEST(oddInstancesLeaveTheOthersInUse);
+  CPPUNIT_TEST(responseToHeadHasNoBody);
   CPPUNIT_TEST(longAndNestedRequestsEndNoRouter);
   CPPUNIT_TEST_SUITE_END();
 
@@ -172,6 +173,21 @@
     }
   }
 
+  // Guards against waiting for the body that a response to HEAD announces and
+  // does not have.
+  void responseToHeadHasNoBody() {
+    addUpstream("engine-1", [](ScriptedConnection &Connection, const auto &) {
+      Connection.send("HTTP/1.1 200 OK\r\nContent-Type: text/plain\r\n"
+                      "Content-Length: 50\r\n\r\n");
+    });
+    startRouter();
+    Call Wanted = chatCall(Router->Address, "quote", chatBody("x", 3, false));
+    Wanted.Method = "HEAD";
+    Wanted.Body.clear();
+    Wanted.Timeout = Milliseconds(5'000);
+    CPPUNIT_ASSERT_EQUAL(200, send(Wanted).Status);
+  }
+
   // Guards against requests whose length or nesting ends a router.
   void longAndNestedRequestsEndNoRouter() {
     addUpstream("engine-1", [](ScriptedConnection &Connection, const auto &) {
