--- a/src/core/fatal_signal.cpp
+++ b/src/core/fatal_signal.cpp
@@ -67,7 +67,7 @@
 
 FatalSignalReport::FatalSignalReport(const char *ThreadName) {
   CurrentThreadName = ThreadName;
-  StackStart = reinterpret_cast<std::uintptr_t>(&ThreadName);
+  StackStart = reinterpret_cast<std::uintptr_t>(__builtin_frame_address(0));
   stack_t Stack{};
   Stack.ss_sp = HandlerStack.data();
   Stack.ss_size = HandlerStack.size();
--- a/tests/integration/test-foreign-bytes.cpp
+++ b/tests/integration/test-foreign-bytes.cpp
@@ -133,20 +133,18 @@
     addUpstream("engine-1", Script);
     startRouter();
     CPPUNIT_ASSERT_EQUAL(200, ask().Status);
-    std::string Nested = std::string(100'000, '[') + std::string(100'000, ']');
-    const std::string Second = Run->newHost();
+    const std::string Nested =
+        std::string(100'000, '[') + std::string(100'000, ']');
+    const std::string Begin =
+        R"({"name":"odd","pool":"models","address":"127.0.0.1:1",)";
     const std::vector<std::string> Odd{
         R"({"name":"odd","pool":"models","address":"127.0.0.1:70000"})",
-        R"({"name":"odd","pool":"models","address":"127.0.0.1:1",)"
-        R"("max_in_flight":99999999999999999999})",
-        R"({"name":"odd","pool":"models","address":"127.0.0.1:1",)"
-        R"("max_in_flight":1e400})",
+        Begin + R"("max_in_flight":99999999999999999999})",
+        Begin + R"("max_in_flight":1e400})",
         R"({"name":"odd","pool":"models","address":7})",
-        R"({"name":"odd","pool":"models","address":"127.0.0.1:1","x":)" +
-            Nested + "}",
+        Begin + R"("x":)" + Nested + "}",
         "7",
-        R"({"name":"odd","pool":"models","address":"127.0.0.1:1",)"
-        R"("max_in_flight":-1})"};
+        Begin + R"("max_in_flight":-1})"};
     for (const std::string &Each : Odd) {
       // The engine that is in use moves to another address with each round.
       Upstreams.clear();
--- a/tests/integration/test-node-foreign-bytes.cpp
+++ b/tests/integration/test-node-foreign-bytes.cpp
@@ -118,6 +118,7 @@
       Connection.send(responseTo(Request, "200 OK", Signature, "ran " + Id));
     };
     std::vector<std::unique_ptr<ScriptedServer>> Servers;
+    Servers.reserve(2);
     for (int Number = 0; Number < 2; ++Number)
       Servers.push_back(
           std::make_unique<ScriptedServer>("127.0.0.1", 0, Script));
@@ -220,6 +221,7 @@
       Connection.close();
     };
     std::vector<std::unique_ptr<ScriptedServer>> Servers;
+    Servers.reserve(2);
     for (int Number = 0; Number < 2; ++Number)
       Servers.push_back(
           std::make_unique<ScriptedServer>("127.0.0.1", 0, Script));
@@ -249,9 +251,9 @@
     auto Caller = Deployment::clientOf(Node);
     const auto Answer =
         Path.starts_with("/safe")
-            ? Caller.Get(Path.c_str(), Deployment::requestHeaders(Id, Key))
-            : Caller.Post(Path.c_str(), Deployment::requestHeaders(Id, Key),
-                          "b", "text/plain");
+            ? Caller.Get(Path, Deployment::requestHeaders(Id, Key))
+            : Caller.Post(Path, Deployment::requestHeaders(Id, Key), "b",
+                          "text/plain");
     return Answer ? Answer->status : 0;
   }
 };
--- a/tests/support/byte_mutator.cpp
+++ b/tests/support/byte_mutator.cpp
@@ -119,7 +119,7 @@
       return Example;
   ByteMutator Mutator(Seed, std::move(Examples), std::move(Tokens));
   for (std::uint64_t Number = 0; Number < Inputs; ++Number) {
-    const std::string Input = Mutator.next();
+    std::string Input = Mutator.next();
     if (Print)
       std::cerr << Name << ' ' << Seed << ' ' << Number << ' ' << Input.size()
                 << '\n'
--- a/tests/unit-foreign-bytes.cpp
+++ b/tests/unit-foreign-bytes.cpp
@@ -418,7 +418,7 @@
   static std::string
   nestedBytes(const std::function<bool(const std::string &)> &Parse) {
     for (const std::size_t Depth : {10, 100, 200'000}) {
-      const std::string Input(Depth, '\x91');
+      std::string Input(Depth, '\x91');
       if (!Parse(Input))
         return Input;
     }
--- a/tests/unit-platform-wire.cpp
+++ b/tests/unit-platform-wire.cpp
@@ -1,6 +1,7 @@
 #include "../platform/wire.hpp"
 
 #include <cppunit/extensions/HelperMacros.h>
+#include <fmt/format.h>
 
 #include <cmath>
 
@@ -33,9 +34,9 @@
           "99999999999999999999", "1e300", "nan", "", "x", "5000000000"}) {
       const auto Metadata = readRequest(
           {{"Mallowglade-Deadline-Ms", Number},
-           {"Mallowglade-Token-Usage", Number + "," + Number},
+           {"Mallowglade-Token-Usage", fmt::format("{0},{0}", Number)},
            {"Mallowglade-Length-Hint", Number},
-           {"Mallowglade-Prefix-Hash", "a:" + Number + ",b:" + Number}});
+           {"Mallowglade-Prefix-Hash", fmt::format("a:{0},b:{0}", Number)}});
       if (Metadata.Deadline) {
         CPPUNIT_ASSERT_MESSAGE(Number, Metadata.Deadline->count() >= 0);
         CPPUNIT_ASSERT_MESSAGE(Number,
