Try the reports of other operators in all their forms with real processes

Cause: the tests tried a copied refusal only after the next request and for one kind of request, an error in mid-stream for resumable streams only, and odd entries without pages, damaged Base64 and sound entries that change beside them. The check of the usage in unit-event-stream had become a count of lines. Change: copies before and after the next request, for unsafe requests and both kinds of streams; error answers for streams that may not be resumed; the stand-in's store has pages and takes damaged values; sound upstreams leave and return meanwhile. The data lines of a stream are compared as a whole, at each split. A caller that sends the same stream again at once is turned away with 503 while its upstreams rest; the test asks again, as callers do.

--- a/tests/integration/test-node-foreign-bytes.cpp
+++ b/tests/integration/test-node-foreign-bytes.cpp
@@ -74,7 +74,12 @@
     putEntry("servers/odd-3", entryOf("127.0.0.1:70000", "ready"));
     putEntry("servers/odd-4", entryOf(Address, "ready", ",\"slots\":1e400"));
     putEntry("servers/odd-5", entryOf(Address, "ready", ",\"slots\":1e300"));
-    putEntry("servers/odd\r\nX-Field: y", entryOf(Address, "ready"));
+    for (const char *Key :
+         {"servers/odd a&after=z#%", "servers/odd\r\nX-Field: y",
+          "servers/i-0 b", "servers/i-1 b", "servers/i-2 b"})
+      putEntry(Key, entryOf("127.0.0.1:70000", "ready"));
+    for (const char *Text : {"====", "AA==========", "%%%%"})
+      Deployment::sendControl({{"encoded_entry", {"servers/odd-6", Text}}});
     putEntry("routers/odd", Nested);
     putEntry("quarantine/odd", Nested);
     putEntry("op/odd", Nested);
@@ -82,6 +87,17 @@
       CPPUNIT_ASSERT_EQUAL(200, statusOf(Node, "/safe/x", "a"));
       CPPUNIT_ASSERT(!Fleet.Nodes[Node]->ended());
     }
+    // A sound entry beside them changes: the others serve, and then it does.
+    for (int Index = 1; Index < UpstreamCount; ++Index)
+      Deployment::sendControl({{"leaving", Index}});
+    std::this_thread::sleep_for(milliseconds(2'000));
+    for (int Node = 0; Node < 2; ++Node)
+      CPPUNIT_ASSERT_EQUAL(200, statusOf(Node, "/safe/x", "d"));
+    Deployment::sendControl({{"leaving", 0}});
+    Deployment::sendControl({{"back", 1}});
+    std::this_thread::sleep_for(milliseconds(2'000));
+    for (int Node = 0; Node < 2; ++Node)
+      CPPUNIT_ASSERT_EQUAL(200, statusOf(Node, "/safe/x", "e"));
     // Later changes are followed, by routers that run and by one that starts.
     Fleet.Nodes[1]->kill();
     Fleet.startNode(1);
@@ -96,51 +112,12 @@
 
   // Guards against a refusal of an earlier request that an upstream sends once
   // more: the caller of the next one is told that its request has not run, or
-  // it runs at a second upstream.
+  // it runs at a second upstream. The copy comes before the next request is
+  // sent, or when it has arrived.
   void repeatedRefusalIsNotTheAnswer() {
-    std::mutex Mutex;
-    std::map<std::string, int> Runs;
-    const auto Script = [&](ScriptedConnection &Connection,
-                            const std::string &Request) {
-      const std::string Id = fieldOf(Request, "Mallowglade-Attempt-Id");
-      if (Id.starts_with("full")) {
-        Connection.send(UnnamedRefusal);
-        return;
-      }
-      // A copy of the refusal, when the next request has arrived.
-      if (Connection.requestCount() > 1)
-        Connection.send(UnnamedRefusal);
-      {
-        const std::lock_guard<std::mutex> Lock(Mutex);
-        ++Runs[Id];
-      }
-      std::this_thread::sleep_for(milliseconds(150));
-      Connection.send(responseTo(Request, "200 OK", Signature, "ran " + Id));
-    };
-    std::vector<std::unique_ptr<ScriptedServer>> Servers;
-    Servers.reserve(2);
-    for (int Number = 0; Number < 2; ++Number)
-      Servers.push_back(
-          std::make_unique<ScriptedServer>("127.0.0.1", 0, Script));
-    Deployment Fleet;
-    useOnly(Servers);
-    for (int Round = 0; Round < 12; ++Round) {
-      const std::string Suffix = std::to_string(Round);
-      statusOf(0, "/safe/x", "full-" + Suffix);
-      auto Caller = Deployment::clientOf(0);
-      const std::string Id = "run-" + Suffix;
-      const auto Answer = Caller.Post(
-          "/unsafe/x", Deployment::requestHeaders(Id), "b", "text/plain");
-      CPPUNIT_ASSERT(Answer);
-      const std::lock_guard<std::mutex> Lock(Mutex);
-      const std::string Seen = Id + ": " + std::to_string(Answer->status) +
-                               ", ran " + std::to_string(Runs[Id]) + " times";
-      CPPUNIT_ASSERT_MESSAGE(Seen, Runs[Id] <= 1);
-      CPPUNIT_ASSERT_MESSAGE(Seen, Runs[Id] == 0 || (Answer->status != 503 &&
-                                                     Answer->status != 429));
-      CPPUNIT_ASSERT_MESSAGE(Seen, Answer->status != 200 ||
-                                       Answer->body == "ran " + Id);
-    }
+    for (const bool BeforeTheNext : {false, true})
+      for (const std::string Path : {"/unsafe/x", "/once/x", "/stream/x"})
+        repeatRefusals(Path, BeforeTheNext);
   }
 
   // Guards against bytes after a complete answer that look like a refusal, or
@@ -228,17 +205,27 @@
     Deployment Fleet;
     useOnly(Servers);
     int Round = 0;
-    for (const char *Each : {"length", "chunks", "close"}) {
-      Framing = Each;
-      Requests = 0;
-      const std::string Raw = fleet::exchangeRaw(
-          "127.0.0.1:" + std::to_string(FirstNodePort),
-          "POST /stream/x HTTP/1.1\r\nHost: api.example\r\n"
-          "Mallowglade-Attempt-Id: s" +
-              std::to_string(++Round) +
-              "\r\nMallowglade-Deadline-Ms: 3000\r\nAuthorization: Bearer "
-              "key\r\nConnection: close\r\nContent-Length: 0\r\n\r\n");
-      CPPUNIT_ASSERT_MESSAGE(Each, Raw.find("data: e1") != std::string::npos);
+    for (const std::string Each : {"length", "chunks", "close", "length once",
+                                   "chunks once", "close once"}) {
+      Framing = Each.substr(0, Each.find(' '));
+      const std::string Route = Framing == Each ? "/stream/" : "/once/";
+      std::string Raw;
+      // Upstreams that broke off a stream get nothing for a moment.
+      CPPUNIT_ASSERT(waitUntil([&] {
+        Requests = 0;
+        const std::string Name = "s" + std::to_string(++Round);
+        Raw = fleet::exchangeRaw(
+            "127.0.0.1:" + std::to_string(FirstNodePort),
+            "POST " + Route + Name +
+                " HTTP/1.1\r\nHost: api.example\r\n"
+                "Mallowglade-Attempt-Id: " +
+                Name +
+                "\r\nMallowglade-Deadline-Ms: 3000\r\nAuthorization: Bearer "
+                "key\r\nConnection: close\r\nContent-Length: 0\r\n\r\n");
+        return !Raw.starts_with("HTTP/1.1 503");
+      }));
+      CPPUNIT_ASSERT_MESSAGE(Each + Raw,
+                             Raw.find("data: e1") != std::string::npos);
       CPPUNIT_ASSERT_MESSAGE(Each, Raw.find(Text) == std::string::npos);
       CPPUNIT_ASSERT_MESSAGE(Each,
                              Raw.find("\r\n0\r\n\r\n") == std::string::npos);
@@ -246,6 +233,65 @@
   }
 
 private:
+  /// Lets upstreams refuse requests and send the refusals once more.
+  static void repeatRefusals(const std::string &Path, bool BeforeTheNext) {
+    std::mutex Mutex;
+    std::map<std::string, int> Runs;
+    const bool Streams = Path != "/unsafe/x";
+    const auto Script = [&](ScriptedConnection &Connection,
+                            const std::string &Request) {
+      const std::string Id = fieldOf(Request, "Mallowglade-Attempt-Id");
+      if (Id.starts_with("full")) {
+        Connection.send(UnnamedRefusal);
+        if (BeforeTheNext) {
+          std::this_thread::sleep_for(milliseconds(20));
+          Connection.send(UnnamedRefusal);
+        }
+        return;
+      }
+      if (!BeforeTheNext && Connection.requestCount() > 1)
+        Connection.send(UnnamedRefusal);
+      {
+        const std::lock_guard<std::mutex> Lock(Mutex);
+        ++Runs[Id];
+      }
+      std::this_thread::sleep_for(milliseconds(150));
+      const std::string Type =
+          Streams ? "Content-Type: text/event-stream\r\n" : "";
+      Connection.send(responseTo(Request, "200 OK", Signature + Type,
+                                 "id: 1\ndata: ran " + Id + "\n\n"));
+    };
+    std::vector<std::unique_ptr<ScriptedServer>> Servers;
+    Servers.reserve(2);
+    for (int Number = 0; Number < 2; ++Number)
+      Servers.push_back(
+          std::make_unique<ScriptedServer>("127.0.0.1", 0, Script));
+    Deployment Fleet;
+    useOnly(Servers);
+    // Resumable streams may run again.
+    const int MostRuns = Path == "/stream/x" ? 2 : 1;
+    for (int Round = 0; Round < 8; ++Round) {
+      const std::string Suffix = std::to_string(Round);
+      statusOf(0, "/safe/x", "full-" + Suffix);
+      auto Caller = Deployment::clientOf(0);
+      const std::string Id = "run-" + Suffix;
+      const auto Answer =
+          Caller.Post(Path, Deployment::requestHeaders(Id), "b", "text/plain");
+      CPPUNIT_ASSERT(Answer);
+      const std::lock_guard<std::mutex> Lock(Mutex);
+      const std::string Seen = Path + " " + Id + ": " +
+                               std::to_string(Answer->status) + ", ran " +
+                               std::to_string(Runs[Id]) + " times";
+      CPPUNIT_ASSERT_MESSAGE(Seen, Runs[Id] <= MostRuns);
+      CPPUNIT_ASSERT_MESSAGE(
+          Seen, Runs[Id] == 0 || MostRuns > 1 ||
+                    (Answer->status != 503 && Answer->status != 429));
+      CPPUNIT_ASSERT_MESSAGE(Seen, Answer->status != 200 ||
+                                       Answer->body ==
+                                           "id: 1\ndata: ran " + Id + "\n\n");
+    }
+  }
+
   static int statusOf(int Node, const std::string &Path, const std::string &Id,
                       const std::string &Key = "key") {
     auto Caller = Deployment::clientOf(Node);
--- a/tests/standins/standin-model-fleet.cpp
+++ b/tests/standins/standin-model-fleet.cpp
@@ -16,6 +16,7 @@
 //                          prompt part crashes, and is back after a while as
 //                          another process
 //   {"entry": [K, V]}      an entry of another writer: the text V under key K
+//   {"encoded_entry": [K, V]}  the same, V in place of the Base64 text
 //   {"copy": true}         keeps a copy of the store
 //   {"restore": MS}        the store goes back to the copy and a new era
 //   begins;
@@ -49,6 +50,8 @@
   Server.new_task_queue = [Limit] { return new httplib::ThreadPool(Limit); };
 }
 
+/// Entries of a page of the store; the platform's hold about 500.
+constexpr std::size_t PageSize = 4;
 constexpr int StreamEvents = 10;
 constexpr std::chrono::milliseconds EventPause{30};
 /// Time after which a replica that has crashed is back.
@@ -58,6 +61,8 @@
   std::string Value;
   long Revision = 0;
   long Lease = 0;
+  /// True if the value is Base64 text, or meant to be.
+  bool Encoded = false;
 };
 
 class Store {
@@ -85,9 +90,11 @@
   }
 
   /// Writes any bytes, as another writer may.
-  void putBytes(const std::string &Key, const std::string &Value) {
+  /// @param Encoded true if the value is the Base64 text itself
+  void putBytes(const std::string &Key, const std::string &Value,
+                bool Encoded) {
     const std::lock_guard<std::mutex> Lock(Mutex);
-    Now.Entries[Key] = {Value, ++Now.Revision, 0};
+    Now.Entries[Key] = {Value, ++Now.Revision, 0, Encoded};
     Now.History.push_back(item(Key, Now.Entries[Key]));
   }
 
@@ -111,13 +118,17 @@
     return {{"events", List}, {"at", Now.Revision}};
   }
 
-  json range(const std::string &Prefix) {
+  /// @param After key before the first one of the page
+  json range(const std::string &Prefix, const std::string &After) {
     const std::lock_guard<std::mutex> Lock(Mutex);
     json List = json::array();
-    for (const auto &[Key, Each] : Now.Entries)
-      if (Key.starts_with(Prefix))
-        List.push_back(item(Key, Each));
-    return {{"entries", List}, {"has_more", false}, {"at", Now.Revision}};
+    auto Position = Now.Entries.upper_bound(After);
+    for (; Position != Now.Entries.end() && List.size() < PageSize; ++Position)
+      if (Position->first.starts_with(Prefix))
+        List.push_back(item(Position->first, Position->second));
+    return {{"entries", List},
+            {"has_more", Position != Now.Entries.end()},
+            {"at", Now.Revision}};
   }
 
   long grant() {
@@ -144,7 +155,8 @@
 private:
   static json item(const std::string &Key, const Entry &Of) {
     return {{"key", Key},
-            {"value", mallowglade::detail::encodeBase64(Of.Value)},
+            {"value", Of.Encoded ? Of.Value
+                                 : mallowglade::detail::encodeBase64(Of.Value)},
             {"revision", Of.Revision},
             {"created", Of.Revision},
             {"lease", Of.Lease}};
@@ -177,20 +189,21 @@
 }
 
 json configuration(int Version, const json &Keys) {
-  return {{"version", Version},
-          {"routes",
-           {route("safe", "safe", false), route("unsafe", "unsafe", false),
-            route("stream", "streaming", true)}},
-          {"services",
-           {{{"name", "pool"},
-             {"health_path", "/healthz"},
-             {"max_connections", 100}}}},
-          {"tenants", {{{"name", "desk"}, {"api_keys", Keys}}}},
-          {"limits",
-           {{"max_header_bytes", 16384},
-            {"max_body_bytes", 1048576},
-            {"header_timeout_ms", 3000},
-            {"idle_timeout_ms", 15000}}}};
+  return {
+      {"version", Version},
+      {"routes",
+       {route("safe", "safe", false), route("unsafe", "unsafe", false),
+        route("stream", "streaming", true), route("once", "streaming", false)}},
+      {"services",
+       {{{"name", "pool"},
+         {"health_path", "/healthz"},
+         {"max_connections", 100}}}},
+      {"tenants", {{{"name", "desk"}, {"api_keys", Keys}}}},
+      {"limits",
+       {{"max_header_bytes", 16384},
+        {"max_body_bytes", 1048576},
+        {"header_timeout_ms", 3000},
+        {"idle_timeout_ms", 15000}}}};
 }
 
 class Replicas {
@@ -342,7 +355,8 @@
       breakOff(Response);
       return;
     }
-    if (!Request.path.starts_with("/stream/")) {
+    if (!Request.path.starts_with("/stream/") &&
+        !Request.path.starts_with("/once/")) {
       std::this_thread::sleep_for(EventPause);
       if (crashedSince(Number, Generation)) {
         breakOff(Response);
@@ -424,7 +438,8 @@
   Server.Get("/mallowglade/kv-range", [&Registry,
                                        Send](const httplib::Request &Request,
                                              httplib::Response &Reply) {
-    Send(Reply, Registry.range(Request.get_param_value("path_prefix")));
+    Send(Reply, Registry.range(Request.get_param_value("path_prefix"),
+                               Request.get_param_value("after")));
   });
   Server.Get("/mallowglade/kv-watch", [&Registry,
                                        Send](const httplib::Request &Request,
@@ -508,7 +523,10 @@
       WriteConfiguration();
     }
     if (Order.contains("entry"))
-      Registry.putBytes(Order["entry"][0], Order["entry"][1]);
+      Registry.putBytes(Order["entry"][0], Order["entry"][1], false);
+    if (Order.contains("encoded_entry"))
+      Registry.putBytes(Order["encoded_entry"][0], Order["encoded_entry"][1],
+                        true);
     Reply.set_content(json{{"version", Version}}.dump(), "application/json");
     if (Order.contains("down"))
       Registry.Down = Order["down"].get<bool>();
--- a/tests/unit-event-stream.cpp
+++ b/tests/unit-event-stream.cpp
@@ -2,8 +2,21 @@
 
 #include <cppunit/extensions/HelperMacros.h>
 
+#include <vector>
+
 using namespace mallowglade;
 
+namespace {
+
+/// Collects the data lines that a stream reports.
+class DataCollector final : public EventDataReceiver {
+public:
+  void onEventData(std::string_view Data) override { Lines.emplace_back(Data); }
+  std::vector<std::string> Lines;
+};
+
+} // namespace
+
 class EventStreamTest : public CppUnit::TestFixture {
   CPPUNIT_TEST_SUITE(EventStreamTest);
   CPPUNIT_TEST(outputDoesNotDependOnReadBoundaries);
@@ -20,12 +33,16 @@
         "data: [DONE]\n\n";
     for (std::size_t Split = 0; Split <= Input.size(); ++Split) {
       EventStream Stream;
-      std::string Output = Stream.feed(Input.substr(0, Split));
-      Output += Stream.feed(Input.substr(Split));
+      DataCollector Data;
+      std::string Output = Stream.feed(Input.substr(0, Split), &Data);
+      Output += Stream.feed(Input.substr(Split), &Data);
       CPPUNIT_ASSERT_EQUAL(Input, Output);
       CPPUNIT_ASSERT(Stream.done());
       CPPUNIT_ASSERT_EQUAL(std::string("2"), Stream.lastEventId());
       CPPUNIT_ASSERT_EQUAL(std::uint64_t(2), Stream.dataLineCount());
+      const std::vector<std::string> Expected{"{\"a\":1}",
+                                              "{\"usage\":{\"x\":2}}"};
+      CPPUNIT_ASSERT(Data.Lines == Expected);
     }
   }
 
