--- a/include/mallowglade/detail/dataplane/control.hpp
+++ b/include/mallowglade/detail/dataplane/control.hpp
@@ -69,6 +69,9 @@
   /// @brief Drops what was read before the store came back from a copy, and
   ///   reads it again soon.
   void onStoreRestored(StoreEra Next);
+  /// @return false if a report with this era is damaged: responses of earlier
+  ///   eras would be dropped from then on
+  bool isPlausible(StoreEra Reported) const;
   /// @brief Stores that the era of a read is confirmed, for routers that start
   ///   when no other one runs.
   void confirmEra(const FleetState &Read);
--- a/src/dataplane/control.cpp
+++ b/src/dataplane/control.cpp
@@ -25,6 +25,8 @@
 /// their leases end.
 constexpr Milliseconds MinRegisteredPeerWait{1'500};
 constexpr int RegisteredPeerWaitPeriods = 5;
+/// Restorations of the store that a router may have missed.
+constexpr std::uint64_t MaxMissedEras = 1'000;
 /// Period of the check for received datagrams.
 constexpr Milliseconds ReceivePollPeriod{25};
 /// Number of sent reports whose send times are kept.
@@ -425,6 +427,11 @@
   scheduleNext(ReceiveTimer, ReceivePollPeriod, [this] { receive(); });
 }
 
+bool Control::isPlausible(StoreEra Reported) const {
+  return KnownEra.Value == 0 || Reported <= KnownEra ||
+         Reported.Value - KnownEra.Value <= MaxMissedEras;
+}
+
 bool Control::onDatagram(std::size_t Size) {
   Result<PeerReport> Decoded = decodeReport({Datagram.data(), Size});
   if (!isOk(Decoded)) {
@@ -434,6 +441,12 @@
     return false;
   }
   const PeerReport &Report = valueOf(Decoded);
+  if (!isPlausible(Report.Era)) {
+    Log.write("peer_report_rejected",
+              {{"from", DatagramSource.address().to_string()},
+               {"cause", "implausible era"}});
+    return false;
+  }
   const AcceptResult Outcome = Peers.accept(Report);
   if (!Outcome.Accepted)
     return false;
--- a/tests/unit-dataplane-control.cpp
+++ b/tests/unit-dataplane-control.cpp
@@ -240,6 +240,7 @@
   CPPUNIT_TEST(digestsReachAllRoutersOfOtherZones);
   CPPUNIT_TEST(overloadedRouterHandsItsCallersOver);
   CPPUNIT_TEST(restorationIsToldToAllRouters);
+  CPPUNIT_TEST(implausibleEraDoesNotHideTheStore);
   CPPUNIT_TEST(restoredConfigurationProvesNothing);
   CPPUNIT_TEST(restartedRouterDoesNotTrustTheCopy);
   CPPUNIT_TEST(readBegunBeforeOthersAreHeardIsNotTrusted);
@@ -360,6 +361,34 @@
     CPPUNIT_ASSERT_EQUAL(4U, IdleRouters);
   }
 
+  // Guards against one report with a damaged era, after which a router drops
+  // all that the store sends.
+  void implausibleEraDoesNotHideTheStore() {
+    Fleet TestFleet;
+    TestFleet.State.Era = StoreEra(1);
+    TestFleet.State.Config = makeConfiguration(4);
+    TestFleet.Context.run_for(Milliseconds(1'500));
+    PeerReport Report;
+    Report.Sender = RouterId(loopbackAddress(200, 7'004));
+    Report.Incarnation = Report.Sequence = 1;
+    Report.Zone = ZoneId("a");
+    Report.CallerAddress = loopbackAddress(200, 7'001);
+    Report.Era = StoreEra(std::uint64_t(1) << 63U);
+    asio::ip::udp::socket Sender(TestFleet.Context, asio::ip::udp::v4());
+    for (const auto &Router : TestFleet.Routers) {
+      const HostPort Target = splitAddress(Router->Settings.PeerListen);
+      Sender.send_to(asio::buffer(encodeReport(Report)),
+                     {asio::ip::make_address(Target.Host), Target.Port});
+    }
+    TestFleet.Context.run_for(Milliseconds(500));
+    TestFleet.State.Config = makeConfiguration(5);
+    TestFleet.Context.run_for(Freshness);
+    for (const auto &Router : TestFleet.Routers) {
+      CPPUNIT_ASSERT_EQUAL(5.0, TestFleet.configurationVersion(*Router));
+      CPPUNIT_ASSERT(TestFleet.proofAge(*Router) < 1.9);
+    }
+  }
+
   // Guards against taking an older configuration from the copy, and against
   // accepting credentials for long while the store lacks a newer one, which may
   // have withdrawn them.
