Bound the heads of answers from other routers and of the watch

Cause: fetchAnswer and the watch of the key-value service still used the library's client, which takes heads of any size. Change: both use http1::BlockingExchange; whole answers of other routers have at most 64 MiB.

--- a/src/platform/etcd_store.cpp
+++ b/src/platform/etcd_store.cpp
@@ -2,9 +2,9 @@
 
 #include <mallowglade/detail/platform/base64.hpp>
 #include <mallowglade/detail/platform/http_call.hpp>
+#include <mallowglade/http1.hpp>
 #include <mallowglade/settings.hpp>
 
-#include <httplib.h>
 #include <nlohmann/json.hpp>
 
 namespace mallowglade {
@@ -98,6 +98,26 @@
                               : std::nullopt;
 }
 
+/// Reads the lines of a watch until one holds a change.
+class ChangeReceiver final : public http1::BlockingReceiver {
+public:
+  void onHead(const http1::ResponseHead &) override {}
+  bool onBody(std::string_view Data) override {
+    Line.append(Data);
+    for (auto End = Line.find('\n'); End != std::string::npos && !Change;
+         End = Line.find('\n')) {
+      Change = parseWatchLine(Line.substr(0, End));
+      Line.erase(0, End + 1);
+    }
+    return !Change && Line.size() <= detail::MaxHttpResponseBytes;
+  }
+
+  std::optional<KeyValue> Change;
+
+private:
+  std::string Line;
+};
+
 } // namespace
 
 EtcdStore::EtcdStore(std::vector<std::string> Endpoints,
@@ -199,35 +219,24 @@
                                                          Revision After,
                                                          Milliseconds Limit) {
   const HostPort Address = splitAddress(Endpoints.front());
-  httplib::Client Client(Address.Host, Address.Port);
-  Client.set_connection_timeout(CallTimeout);
-  Client.set_read_timeout(Limit);
   const json Create{{"key", encodeBase64(Key)},
                     {"start_revision", std::to_string(After.Value + 1)}};
-  httplib::Request Request;
-  Request.method = "POST";
-  Request.path = "/v3/watch";
-  Request.body = json{{"create_request", Create}}.dump();
-  Request.set_header("Content-Type", "application/json");
-  std::optional<KeyValue> Change;
-  std::string Buffer;
-  Request.content_receiver = [&](const char *Data, std::size_t Size,
-                                 std::uint64_t, std::uint64_t) {
-    Buffer.append(Data, Size);
-    if (Buffer.size() > detail::MaxHttpResponseBytes)
-      return false;
-    for (auto End = Buffer.find('\n'); End != std::string::npos && !Change;
-         End = Buffer.find('\n')) {
-      Change = parseWatchLine(Buffer.substr(0, End));
-      Buffer.erase(0, End + 1);
-    }
-    return !Change;
-  };
-  const httplib::Result Reply = Client.send(Request);
-  if (Change || Reply || Reply.error() == httplib::Error::Read)
-    return Change;
-  return Error{ErrorId::Unavailable, httplib::to_string(Reply.error()),
-               Endpoints.front()};
+  const std::string Body = json{{"create_request", Create}}.dump();
+  std::string Message = "POST /v3/watch HTTP/1.1\r\n";
+  http1::appendField(Message, "Host", Endpoints.front());
+  http1::appendField(Message, "Content-Type", "application/json");
+  http1::appendField(Message, "Content-Length", std::to_string(Body.size()));
+  http1::appendField(Message, "Connection", "close");
+  Message += "\r\n" + Body;
+  ChangeReceiver Receiver;
+  http1::BlockingExchange Exchange;
+  const http1::BlockingEnd End =
+      Exchange.run({Address.Host, Address.Port, std::move(Message), CallTimeout,
+                    Limit, false},
+                   Receiver);
+  if (End == http1::BlockingEnd::NotConnected)
+    return Error{ErrorId::Unavailable, "no connection", Endpoints.front()};
+  return Receiver.Change;
 }
 
 } // namespace mallowglade
--- a/src/router/answer_fetch.cpp
+++ b/src/router/answer_fetch.cpp
@@ -13,28 +13,33 @@
 constexpr Milliseconds FetchConnectTimeout{1'000};
 /// After this silence the caller checks whether the holder still lives.
 constexpr Milliseconds SilenceLimit{10'000};
+/// Maximum size of an answer that is no stream.
+constexpr std::size_t MaxAnswerBytes = 67'108'864;
 constexpr int NotFound = 404;
 constexpr int AnswerGoneStatus = 410;
 
 /// Passes a stream on at once and other answers when they are complete.
-class FetchSink {
+class FetchSink final : public http1::BlockingReceiver {
 public:
   FetchSink(Answer &Target, std::size_t Skip) : Target(Target), Skip(Skip) {}
 
-  void onHead(const httplib::Response &Response) {
-    Head = {Response.status, Response.get_header_value("Content-Type")};
+  void onHead(const http1::ResponseHead &Response) override {
+    const std::string *Type = Response.Headers.find("Content-Type");
+    Head = {static_cast<int>(Response.Status),
+            Type == nullptr ? std::string() : *Type};
     IsProblem = Head.ContentType.starts_with("application/problem+json");
     Streaming = Head.ContentType.starts_with("text/event-stream");
     if (Streaming)
       Target.begin(Head);
   }
 
-  void onBytes(std::string_view Bytes) {
+  bool onBody(std::string_view Bytes) override {
     if (!Streaming) {
       Whole.append(Bytes);
-      return;
+      return Whole.size() <= MaxAnswerBytes;
     }
     passOn(Events.feed(Bytes));
+    return !Events.eventTooLarge();
   }
 
   FetchResult end(bool Complete) {
@@ -98,34 +103,27 @@
 FetchResult fetchAnswer(const AnswerFetch &Wanted, Answer &Target,
                         CallCancellation &Cancellation) {
   const HostPort Address = splitAddress(Wanted.Address);
-  httplib::Client Client(Address.Host, Address.Port);
-  Client.set_connection_timeout(FetchConnectTimeout);
-  Client.set_read_timeout(SilenceLimit);
-  Client.set_tcp_nodelay(true);
-  Client.set_decompress(false);
+  std::string Message =
+      "GET /v1/requests/" +
+      httplib::detail::encode_query_param(Wanted.Request.Value) +
+      "/answer HTTP/1.1\r\n";
+  http1::appendField(Message, "Host", Wanted.Address);
+  http1::appendField(Message, "Authorization", "Bearer " + Wanted.BearerKey);
+  http1::appendField(Message, ClaimHeader, toHex(Wanted.Claim.Value));
+  http1::appendField(Message, "Connection", "close");
+  Message += "\r\n";
   FetchSink Sink(Target, Wanted.Skip);
-  httplib::Request Message;
-  Message.method = "GET";
-  Message.path = "/v1/requests/" +
-                 httplib::detail::encode_query_param(Wanted.Request.Value) +
-                 "/answer";
-  Message.set_header("Authorization", "Bearer " + Wanted.BearerKey);
-  Message.set_header(ClaimHeader, toHex(Wanted.Claim.Value));
-  Message.response_handler = [&Sink](const httplib::Response &Response) {
-    Sink.onHead(Response);
-    return true;
-  };
-  Message.content_receiver = [&](const char *Data, std::size_t Size,
-                                 std::uint64_t, std::uint64_t) {
-    Sink.onBytes({Data, Size});
-    return !Cancellation.cancelled();
-  };
-  Cancellation.setAction([&Client] { Client.stop(); });
-  const httplib::Result Reply = Client.send(Message);
+  http1::BlockingExchange Exchange;
+  Cancellation.setAction([&Exchange] { Exchange.interrupt(); });
+  const http1::BlockingEnd End =
+      Cancellation.cancelled()
+          ? http1::BlockingEnd::Broken
+          : Exchange.run({Address.Host, Address.Port, std::move(Message),
+                          FetchConnectTimeout, SilenceLimit, false},
+                         Sink);
   Cancellation.setAction(nullptr);
-  FetchResult Result = Sink.end(static_cast<bool>(Reply));
-  if (!Reply && (Reply.error() == httplib::Error::Connection ||
-                 Reply.error() == httplib::Error::ConnectionTimeout))
+  FetchResult Result = Sink.end(End == http1::BlockingEnd::Complete);
+  if (End == http1::BlockingEnd::NotConnected)
     Result.End = FetchEnd::Unreachable;
   return Result;
 }
--- a/tests/unit-answer-fetch.cpp
+++ b/tests/unit-answer-fetch.cpp
@@ -1,5 +1,6 @@
 #include <mallowglade/detail/router/answer_fetch.hpp>
 
+#include <asio.hpp>
 #include <cppunit/extensions/HelperMacros.h>
 
 #include <httplib.h>
@@ -55,6 +56,7 @@
   CPPUNIT_TEST(failureAfterTheHeadOfAStreamIsPassedOn);
   CPPUNIT_TEST(stoppedHolderIsUnreachable);
   CPPUNIT_TEST(endedAnswerTakesNoMoreBytes);
+  CPPUNIT_TEST(headWithoutEndIsNotRead);
   CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -185,6 +187,37 @@
     CallCancellation Cancellation;
     return fetchAnswer(Holder.wanted(), Target, Cancellation);
   }
+
+  // Guards against a router whose head never ends and that takes the memory of
+  // the one that fetches an answer from it.
+  void headWithoutEndIsNotRead() {
+    asio::io_context Context;
+    asio::ip::tcp::acceptor Acceptor(Context,
+                                     {asio::ip::make_address("127.0.0.1"), 0});
+    std::size_t Sent = 0;
+    std::thread Holder([&] {
+      asio::ip::tcp::socket Socket = Acceptor.accept();
+      std::error_code Error;
+      asio::write(Socket, asio::buffer(std::string("HTTP/1.1 200 OK\r\n")),
+                  Error);
+      const std::string Field = "X-Field: " + std::string(4'000, 'x') + "\r\n";
+      constexpr std::size_t MostBytes = std::size_t(64) << 20U;
+      while (!Error && Sent < MostBytes)
+        Sent += asio::write(Socket, asio::buffer(Field), Error);
+    });
+    AnswerFetch Wanted;
+    Wanted.Address =
+        "127.0.0.1:" + std::to_string(Acceptor.local_endpoint().port());
+    Wanted.Request = RequestId("r1");
+    Answer Target;
+    CallCancellation Cancellation;
+    const FetchResult Result = fetchAnswer(Wanted, Target, Cancellation);
+    Holder.join();
+    CPPUNIT_ASSERT(Result.End != FetchEnd::Ended);
+    // More than the buffers of both sockets hold.
+    constexpr std::size_t MaxBytes = std::size_t(32) << 20U;
+    CPPUNIT_ASSERT(Sent < MaxBytes);
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(AnswerFetchTest);
