--- a/tests/integration/test-node-foreign-bytes.cpp
+++ b/tests/integration/test-node-foreign-bytes.cpp
@@ -1,6 +1,8 @@
 #include <node_fleet.hpp>
 #include <scripted_server.hpp>
 
+#include <fmt/format.h>
+
 #include <atomic>
 #include <mutex>
 
@@ -215,13 +217,13 @@
         Requests = 0;
         const std::string Name = "s" + std::to_string(++Round);
         Raw = fleet::exchangeRaw(
-            "127.0.0.1:" + std::to_string(FirstNodePort),
-            "POST " + Route + Name +
-                " HTTP/1.1\r\nHost: api.example\r\n"
-                "Mallowglade-Attempt-Id: " +
-                Name +
-                "\r\nMallowglade-Deadline-Ms: 3000\r\nAuthorization: Bearer "
-                "key\r\nConnection: close\r\nContent-Length: 0\r\n\r\n");
+            fmt::format("127.0.0.1:{}", FirstNodePort),
+            fmt::format("POST {}{} HTTP/1.1\r\nHost: api.example\r\n"
+                        "Mallowglade-Attempt-Id: {}\r\n"
+                        "Mallowglade-Deadline-Ms: 3000\r\n"
+                        "Authorization: Bearer key\r\n"
+                        "Connection: close\r\nContent-Length: 0\r\n\r\n",
+                        Route, Name, Name));
         return !Raw.starts_with("HTTP/1.1 503");
       }));
       CPPUNIT_ASSERT_MESSAGE(Each + Raw,
@@ -279,9 +281,8 @@
           Caller.Post(Path, Deployment::requestHeaders(Id), "b", "text/plain");
       CPPUNIT_ASSERT(Answer);
       const std::lock_guard<std::mutex> Lock(Mutex);
-      const std::string Seen = Path + " " + Id + ": " +
-                               std::to_string(Answer->status) + ", ran " +
-                               std::to_string(Runs[Id]) + " times";
+      const std::string Seen = fmt::format("{} {}: {}, ran {} times", Path, Id,
+                                           Answer->status, Runs[Id]);
       CPPUNIT_ASSERT_MESSAGE(Seen, Runs[Id] <= MostRuns);
       CPPUNIT_ASSERT_MESSAGE(
           Seen, Runs[Id] == 0 || MostRuns > 1 ||
