--- a/include/mallowglade/detail/router/answer.hpp
+++ b/include/mallowglade/detail/router/answer.hpp
@@ -24,6 +24,9 @@
 /// It outlives the caller's connection, so that the caller may ask again.
 class Answer {
 public:
+  /// Maximum size of a body, which is kept as a whole for its callers.
+  static constexpr std::size_t MaxBytes = 67'108'864;
+
   /// @brief Sets status and content type; later calls have no effect.
   void begin(AnswerHead Head);
   /// @return status of the answer, or nothing before it has begun
--- a/src/router/answer_fetch.cpp
+++ b/src/router/answer_fetch.cpp
@@ -13,8 +13,6 @@
 constexpr Milliseconds FetchConnectTimeout{1'000};
 /// After this silence the caller checks whether the holder still lives.
 constexpr Milliseconds SilenceLimit{10'000};
-/// Maximum size of an answer that is no stream.
-constexpr std::size_t MaxAnswerBytes = 67'108'864;
 constexpr int NotFound = 404;
 constexpr int AnswerGoneStatus = 410;
 
@@ -36,7 +34,7 @@
   bool onBody(std::string_view Bytes) override {
     if (!Streaming) {
       Whole.append(Bytes);
-      return Whole.size() <= MaxAnswerBytes;
+      return Whole.size() <= Answer::MaxBytes;
     }
     passOn(Events.feed(Bytes));
     return !Events.eventTooLarge();
--- a/src/router/attempt_run.cpp
+++ b/src/router/attempt_run.cpp
@@ -18,8 +18,6 @@
 /// The sockets of a process that crashes do not all close at once.
 constexpr Milliseconds CrashSettleTime{20};
 constexpr int ServerErrorStatus = 500;
-/// Maximum size of an answer, which is kept as a whole for its callers.
-constexpr std::size_t MaxAnswerBytes = 67'108'864;
 
 /// Passes the bytes of one attempt on to the answer.
 class AttemptSink final : private EventDataReceiver {
@@ -45,12 +43,12 @@
       return false;
     if (!Streaming) {
       Whole.append(Bytes);
-      TooLarge = Whole.size() > MaxAnswerBytes;
+      TooLarge = Whole.size() > Answer::MaxBytes;
       return !TooLarge;
     }
     Target.append(Events.feed(Bytes, this));
     Meter.tokens(Events.dataLineCount());
-    TooLarge = Events.eventTooLarge() || Target.size() > MaxAnswerBytes;
+    TooLarge = Events.eventTooLarge() || Target.size() > Answer::MaxBytes;
     return !TooLarge;
   }
 
