Reject reports that name a router by no address

Cause: the sender of a report, and the members of a digest, are where the next report is sent; make_address throws for what is no address, on a thread that catches nothing. The address for callers is printed in the response to a lookup, and the JSON library throws for bytes that are no UTF-8. The fuzz test stopped at the decoder, which accepted both. Evidence: integration-node-foreign-bytes damagedReportsEndNoRouter and unit-dataplane-control reportWithoutAddressesEndsNoRouter failed before; the real router wrote "terminate called after throwing an instance of 'std::system_error' what(): Invalid argument" and fatal_signal 6. Change: decodeReport accepts numeric addresses only, and PeerDirectory keeps a bounded number of routers and zones. Result: both tests pass, and unit-dataplane-peers.

--- a/src/dataplane/peer_directory.cpp
+++ b/src/dataplane/peer_directory.cpp
@@ -42,6 +42,10 @@
 /// Time since the last report after which an unregistered router is removed.
 constexpr Milliseconds UnregisteredRetention{10'000};
 
+/// Bounds on the routers and zones that reports may name.
+constexpr std::size_t MaxRouters = 8'192;
+constexpr std::size_t MaxZones = 256;
+
 /// Sort key of the routers of a zone; the same on all routers.
 std::uint64_t rankKey(const RouterId &Id) { return stableHash(Id.Value); }
 
@@ -93,6 +97,9 @@
     return !Entry.second.Registered &&
            Now - Entry.second.ReceivedAt > UnregisteredRetention;
   });
+  std::erase_if(Digests, [Now](const auto &Entry) {
+    return Now - Entry.second.ReceivedAt > UnregisteredRetention;
+  });
   countZonePeers();
 }
 
@@ -112,6 +119,8 @@
 
 AcceptResult PeerDirectory::acceptRouterReport(PeerReport Report) {
   const bool IsNew = !Peers.contains(Report.Sender);
+  if (IsNew && Peers.size() >= MaxRouters)
+    return {};
   Peer &Router = Peers[Report.Sender];
   const bool Restarted = Router.LastReport.Incarnation != Report.Incarnation;
   if (!Restarted && Report.Sequence <= Router.LastReport.Sequence)
@@ -134,6 +143,11 @@
 AcceptResult PeerDirectory::acceptDigest(PeerReport Report) {
   if (Report.Zone == Self.Zone)
     return {};
+  const bool TooMany =
+      Peers.size() + Report.Members.size() > MaxRouters ||
+      (Digests.size() >= MaxZones && !Digests.contains(Report.Zone));
+  if (TooMany)
+    return {};
   Digest &Stored = Digests[Report.Zone];
   const TimePoint Now = Time.now();
   const bool SameSender = Stored.LastReport.Sender == Report.Sender &&
--- a/src/dataplane/peer_message.cpp
+++ b/src/dataplane/peer_message.cpp
@@ -1,6 +1,7 @@
 #include <mallowglade/detail/dataplane/peer_message.hpp>
 
 #include <mallowglade/detail/core/unpack_limit.hpp>
+#include <mallowglade/detail/settings/json_reader.hpp>
 
 #include <msgpack.hpp>
 
@@ -91,6 +92,20 @@
     msgpack::pack(Buffer, Parts);
 }
 
+/// Routers are named by the address that receives their reports, and callers
+/// are told the other address: a report with anything else is damaged.
+bool namesRouters(const PeerReport &Report) {
+  constexpr std::size_t MaxZoneBytes = 256;
+  return Report.Zone.Value.size() <= MaxZoneBytes &&
+         isNumericAddress(Report.Sender.Value) &&
+         isNumericAddress(Report.CallerAddress) &&
+         std::all_of(Report.Members.begin(), Report.Members.end(),
+                     [](const ZoneMember &Member) {
+                       return isNumericAddress(Member.Id.Value) &&
+                              isNumericAddress(Member.CallerAddress);
+                     });
+}
+
 /// Reads the named parts that this router knows.
 void readParts(const NamedParts &Parts, PeerReport &Report) {
   if (const auto Found = Parts.find(LimitsPart); Found != Parts.end())
@@ -220,6 +235,10 @@
                           nullptr, detail::unpackLimit(Datagram.size()));
       readParts(Parts.get().as<NamedParts>(), Report);
     }
+    if (!namesRouters(Report))
+      return Error{ErrorId::InvalidMessage,
+                   "peer report names a router by no address",
+                   {}};
     return Report;
   } catch (const std::exception &Exception) {
     return Error{ErrorId::InvalidMessage, Exception.what(), {}};
--- a/tests/integration/node_fleet.hpp
+++ b/tests/integration/node_fleet.hpp
@@ -22,6 +22,8 @@
 inline constexpr int UpstreamCount = 3;
 inline constexpr int FirstNodePort = 23'200;
 inline constexpr int PortsPerNode = 10;
+/// First port of the traffic between routers.
+inline constexpr int PeerPortOffset = 3;
 inline constexpr auto WaitTimeout = std::chrono::seconds(10);
 
 inline std::string binary(const std::string &Name) {
@@ -91,7 +93,7 @@
          {{"callers", Address(Port)},
           {"readiness", Address(Port + 1)},
           {"addresses", Address(Port + 2)}}},
-        {"peers", {{"ip", "127.0.0.1"}, {"first_port", Port + 3}}},
+        {"peers", {{"ip", "127.0.0.1"}, {"first_port", Port + PeerPortOffset}}},
         {"retries", {{"ratio", 0.2}, {"slack", 56}, {"window_s", 10}}},
         {"limits", {{"memory_mb", 110}, {"descriptors", 4100}}}};
     const std::string File =
--- a/tests/integration/test-node-foreign-bytes.cpp
+++ b/tests/integration/test-node-foreign-bytes.cpp
@@ -1,6 +1,9 @@
 #include <node_fleet.hpp>
 #include <scripted_server.hpp>
 
+#include <mallowglade/dataplane.hpp>
+
+#include <asio.hpp>
 #include <fmt/format.h>
 
 #include <atomic>
@@ -60,6 +63,7 @@
   CPPUNIT_TEST(strayResponseIsNotTheAnswer);
   CPPUNIT_TEST(refusalOnANewConnectionIsPassedOn);
   CPPUNIT_TEST(errorInMidStreamReachesNoCaller);
+  CPPUNIT_TEST(damagedReportsEndNoRouter);
   CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -234,6 +238,46 @@
     }
   }
 
+  // Guards against a damaged report between routers that ends its receivers.
+  void damagedReportsEndNoRouter() {
+    using namespace mallowglade;
+    Deployment Fleet;
+    dataplane::PeerReport Sound;
+    Sound.Sender = RouterId("127.0.0.1:23399");
+    Sound.CallerAddress = "127.0.0.1:23398";
+    Sound.Incarnation = Sound.Sequence = 1;
+    Sound.Zone = ZoneId("zone-a");
+    std::vector<dataplane::PeerReport> Reports(3, Sound);
+    Reports[0].Sender = RouterId("127.0.0.\xff:1");
+    Reports[1].CallerAddress = "\xff";
+    Reports[1].Ready = true;
+    Reports[2].Zone = ZoneId("zone-b");
+    Reports[2].Members.push_back({RouterId("x"), "\xff", true});
+    asio::io_context Context;
+    asio::ip::udp::socket Socket(Context, asio::ip::udp::v4());
+    for (const auto &Report : Reports)
+      for (int Node = 0; Node < 2; ++Node)
+        Socket.send_to(
+            asio::buffer(dataplane::encodeReport(Report)),
+            {asio::ip::make_address("127.0.0.1"),
+             static_cast<std::uint16_t>(FirstNodePort + Node * PortsPerNode +
+                                        PeerPortOffset)});
+    std::this_thread::sleep_for(milliseconds(1'000));
+    for (int Node = 0; Node < 2; ++Node)
+      CPPUNIT_ASSERT(!Fleet.Nodes[Node]->ended());
+    // Later changes are followed, also by a router that starts.
+    Fleet.Nodes[1]->kill();
+    Fleet.startNode(1);
+    Deployment::sendControl({{"keys", {"new"}}});
+    for (int Node = 0; Node < 2; ++Node) {
+      CPPUNIT_ASSERT(waitUntil(
+          [&] { return statusOf(Node, "/safe/x", "b", "key") == 401; }));
+      CPPUNIT_ASSERT_EQUAL(200, statusOf(Node, "/safe/x", "c", "new"));
+      CPPUNIT_ASSERT(waitUntil(
+          [&] { return Deployment::resolvedAddressCount(Node) == 2; }));
+    }
+  }
+
 private:
   /// Lets upstreams refuse requests and send the refusals once more.
   static void repeatRefusals(const std::string &Path, bool BeforeTheNext) {
--- a/tests/unit-dataplane-control.cpp
+++ b/tests/unit-dataplane-control.cpp
@@ -154,6 +154,16 @@
   Control State;
 };
 
+/// Returns a report of a router that is no part of the fleet.
+PeerReport makeStrangersReport() {
+  PeerReport Report;
+  Report.Sender = RouterId(loopbackAddress(200, 7'004));
+  Report.Incarnation = Report.Sequence = 1;
+  Report.Zone = ZoneId("a");
+  Report.CallerAddress = loopbackAddress(200, 7'001);
+  return Report;
+}
+
 /// Two zones of three routers each, on one event loop.
 struct Fleet {
   asio::io_context Context;
@@ -201,6 +211,16 @@
     return Response;
   }
 
+  /// Sends a report to all routers.
+  void sendToAll(const PeerReport &Report) {
+    asio::ip::udp::socket Sender(Context, asio::ip::udp::v4());
+    for (const auto &Router : Routers) {
+      const HostPort Target = splitAddress(Router->Settings.PeerListen);
+      Sender.send_to(asio::buffer(encodeReport(Report)),
+                     {asio::ip::make_address(Target.Host), Target.Port});
+    }
+  }
+
   /// Reads a metric of a router.
   double metric(const TestRouter &Target, const std::string &Name) {
     const std::string Response = get(Target.Settings.MetricsListen, "/metrics");
@@ -240,6 +260,7 @@
   CPPUNIT_TEST(digestsReachAllRoutersOfOtherZones);
   CPPUNIT_TEST(overloadedRouterHandsItsCallersOver);
   CPPUNIT_TEST(restorationIsToldToAllRouters);
+  CPPUNIT_TEST(reportWithoutAddressesEndsNoRouter);
   CPPUNIT_TEST(implausibleEraDoesNotHideTheStore);
   CPPUNIT_TEST(restoredConfigurationProvesNothing);
   CPPUNIT_TEST(restartedRouterDoesNotTrustTheCopy);
@@ -361,6 +382,33 @@
     CPPUNIT_ASSERT_EQUAL(4U, IdleRouters);
   }
 
+  // Guards against one damaged report that ends all routers which receive it:
+  // its sender is no address to which reports can be sent, or its addresses
+  // cannot be printed for callers.
+  void reportWithoutAddressesEndsNoRouter() {
+    Fleet TestFleet;
+    TestFleet.Context.run_for(Milliseconds(1'000));
+    for (const std::string Text :
+         {"x", "", "10.0.0.300:80", "10.0.0.1:70000", "\xff\xfe:80"}) {
+      PeerReport Report = makeStrangersReport();
+      Report.Ready = true;
+      Report.Sender = RouterId(Text);
+      TestFleet.sendToAll(Report);
+      Report = makeStrangersReport();
+      Report.Ready = true;
+      Report.CallerAddress = Text;
+      TestFleet.sendToAll(Report);
+      Report.CallerAddress = loopbackAddress(200, 7'001);
+      Report.Zone = ZoneId("c");
+      Report.Members.push_back({RouterId(Text), Text, true});
+      TestFleet.sendToAll(Report);
+    }
+    TestFleet.Context.run_for(Milliseconds(500));
+    for (const auto &Router : TestFleet.Routers)
+      CPPUNIT_ASSERT_EQUAL(std::size_t(6),
+                           TestFleet.countAdvertisedRouters(*Router));
+  }
+
   // Guards against one report with a damaged era, after which a router drops
   // all that the store sends.
   void implausibleEraDoesNotHideTheStore() {
@@ -368,18 +416,9 @@
     TestFleet.State.Era = StoreEra(1);
     TestFleet.State.Config = makeConfiguration(4);
     TestFleet.Context.run_for(Milliseconds(1'500));
-    PeerReport Report;
-    Report.Sender = RouterId(loopbackAddress(200, 7'004));
-    Report.Incarnation = Report.Sequence = 1;
-    Report.Zone = ZoneId("a");
-    Report.CallerAddress = loopbackAddress(200, 7'001);
+    PeerReport Report = makeStrangersReport();
     Report.Era = StoreEra(std::uint64_t(1) << 63U);
-    asio::ip::udp::socket Sender(TestFleet.Context, asio::ip::udp::v4());
-    for (const auto &Router : TestFleet.Routers) {
-      const HostPort Target = splitAddress(Router->Settings.PeerListen);
-      Sender.send_to(asio::buffer(encodeReport(Report)),
-                     {asio::ip::make_address(Target.Host), Target.Port});
-    }
+    TestFleet.sendToAll(Report);
     TestFleet.Context.run_for(Milliseconds(500));
     TestFleet.State.Config = makeConfiguration(5);
     TestFleet.Context.run_for(Freshness);
--- a/tests/unit-dataplane-peers.cpp
+++ b/tests/unit-dataplane-peers.cpp
@@ -3,6 +3,7 @@
 #include <mallowglade/dataplane.hpp>
 
 #include <cppunit/extensions/HelperMacros.h>
+#include <fmt/format.h>
 
 #include <rapidcheck.h>
 
@@ -49,6 +50,7 @@
   CPPUNIT_TEST(readerMovesToRouterThatReachesStore);
   CPPUNIT_TEST(misaddressedDigestsAreForwarded);
   CPPUNIT_TEST(digestsAreSentToFirstTwoLiveRouters);
+  CPPUNIT_TEST(routersNamedInReportsAreBounded);
   CPPUNIT_TEST(foreignEntriesAreRejected);
   CPPUNIT_TEST(configurationIsDecoded);
   CPPUNIT_TEST_SUITE_END();
@@ -304,6 +306,23 @@
                      Address == RemoteRouters[7].PeerAddress);
   }
 
+  // Guards against memory that grows with each name that a faulty sender of
+  // reports makes up.
+  void routersNamedInReportsAreBounded() {
+    ManualClock Time;
+    PeerDirectory Peers(makeRouter("10.1.0.1", "b"), Time);
+    constexpr std::size_t Allowed = 8'193;
+    for (int Number = 0; Number < 20'000; ++Number) {
+      const std::string Name =
+          fmt::format("10.{}.{}.1", Number / 200, Number % 200);
+      Peers.accept(makeReport(makeRouter(Name, "b"), 1));
+      PeerReport Digest = makeReport(makeRouter(Name, Name), 1);
+      Digest.Members.push_back({RouterId(Name + ":7401"), Name + ":80", true});
+      Peers.accept(Digest);
+    }
+    CPPUNIT_ASSERT(Peers.liveRouters() <= Allowed);
+  }
+
   // Guards against taking entries of other writers for upstreams.
   void foreignEntriesAreRejected() {
     using platform::decodeUpstream;
