Let the store refute an era that a report stated

Cause: an era that a report states was taken for a fact. Responses of earlier eras were dropped from then on, which were all. Change: a response to a call that was made after the report tells the era in force; an earlier one than reported drops what was reported. Responses to calls made before are dropped as before. The same era is not believed again until the store tells it. Why it works: eras rise only in the store, and a router reports an era after the store has told it, so a later call cannot be answered with an earlier era unless the report was wrong.

--- a/include/mallowglade/detail/dataplane/control.hpp
+++ b/include/mallowglade/detail/dataplane/control.hpp
@@ -154,6 +154,10 @@
   /// Era of the store in which `View` was read.
   StoreEra ViewEra;
   TimePoint NextEraConfirmation{};
+  /// Time at which another router reported `KnownEra`.
+  TimePoint EraReportedAt{};
+  /// Latest reported era that the store refuted; 0 if there is none.
+  StoreEra RefutedEra;
   /// True while the store holds an older configuration than the fleet.
   bool ConfigBehind = false;
   /// Hash over the era, the configuration version and the upstreams in `View`.
--- a/src/dataplane/control.cpp
+++ b/src/dataplane/control.cpp
@@ -149,6 +149,7 @@
   Log.write("store_restored", {{"era", std::int64_t(Next.Value)},
                                {"previous", std::int64_t(KnownEra.Value)}});
   KnownEra = Next;
+  EraReportedAt = Time.now();
   Store.observeEra(Next);
   ReadTimer.expires_after(Milliseconds(
       Random.below(static_cast<std::uint64_t>(MaxRestoredReadDelay.count()))));
@@ -275,8 +276,16 @@
   FleetState &Read = valueOf(State);
   if (ReadStart < ReadPolicy.lastReadAt())
     return;
-  if (Read.Era < KnownEra)
-    return;
+  if (Read.Era < KnownEra) {
+    // Only the store decides which era is in force: it tells an earlier one
+    // after a damaged report.
+    if (ReadStart <= EraReportedAt || Read.Era < ViewEra)
+      return;
+    RefutedEra = KnownEra;
+    Log.write("reported_era_refuted",
+              {{"era", std::int64_t(Read.Era.Value)},
+               {"reported", std::int64_t(KnownEra.Value)}});
+  }
   if (ViewEra.Value != 0 && Read.Era > KnownEra)
     Log.write("store_restored", {{"era", std::int64_t(Read.Era.Value)},
                                  {"previous", std::int64_t(ViewEra.Value)}});
@@ -428,8 +437,10 @@
 }
 
 bool Control::isPlausible(StoreEra Reported) const {
-  return KnownEra.Value == 0 || Reported <= KnownEra ||
-         Reported.Value - KnownEra.Value <= MaxMissedEras;
+  if (KnownEra.Value == 0 || Reported <= KnownEra)
+    return true;
+  const bool Refuted = RefutedEra.Value != 0 && Reported >= RefutedEra;
+  return !Refuted && Reported.Value - KnownEra.Value <= MaxMissedEras;
 }
 
 bool Control::onDatagram(std::size_t Size) {
--- a/tests/integration/test-node-foreign-bytes.cpp
+++ b/tests/integration/test-node-foreign-bytes.cpp
@@ -238,7 +238,8 @@
     }
   }
 
-  // Guards against a damaged report between routers that ends its receivers.
+  // Guards against a damaged report between routers that ends its receivers,
+  // or after which they accept nothing that the store sends.
   void damagedReportsEndNoRouter() {
     using namespace mallowglade;
     Deployment Fleet;
@@ -247,12 +248,14 @@
     Sound.CallerAddress = "127.0.0.1:23398";
     Sound.Incarnation = Sound.Sequence = 1;
     Sound.Zone = ZoneId("zone-a");
-    std::vector<dataplane::PeerReport> Reports(3, Sound);
+    std::vector<dataplane::PeerReport> Reports(5, Sound);
     Reports[0].Sender = RouterId("127.0.0.\xff:1");
     Reports[1].CallerAddress = "\xff";
     Reports[1].Ready = true;
     Reports[2].Zone = ZoneId("zone-b");
     Reports[2].Members.push_back({RouterId("x"), "\xff", true});
+    Reports[4].Sequence = 2;
+    Reports[4].Era = dataplane::StoreEra(7);
     asio::io_context Context;
     asio::ip::udp::socket Socket(Context, asio::ip::udp::v4());
     for (const auto &Report : Reports)
--- a/tests/unit-dataplane-control.cpp
+++ b/tests/unit-dataplane-control.cpp
@@ -261,6 +261,7 @@
   CPPUNIT_TEST(overloadedRouterHandsItsCallersOver);
   CPPUNIT_TEST(restorationIsToldToAllRouters);
   CPPUNIT_TEST(reportWithoutAddressesEndsNoRouter);
+  CPPUNIT_TEST(claimedEraThatTheStoreRefutesIsForgotten);
   CPPUNIT_TEST(implausibleEraDoesNotHideTheStore);
   CPPUNIT_TEST(restoredConfigurationProvesNothing);
   CPPUNIT_TEST(restartedRouterDoesNotTrustTheCopy);
@@ -409,6 +410,25 @@
                            TestFleet.countAdvertisedRouters(*Router));
   }
 
+  // Guards against one report with a slightly damaged era, after which a router
+  // drops all that the store sends.
+  void claimedEraThatTheStoreRefutesIsForgotten() {
+    Fleet TestFleet;
+    TestFleet.State.Era = TestFleet.State.ConfirmedEra = StoreEra(1);
+    TestFleet.State.Config = makeConfiguration(4);
+    TestFleet.Context.run_for(Milliseconds(1'500));
+    PeerReport Report = makeStrangersReport();
+    Report.Era = StoreEra(3);
+    TestFleet.sendToAll(Report);
+    TestFleet.Context.run_for(Milliseconds(500));
+    TestFleet.State.Config = makeConfiguration(5);
+    TestFleet.Context.run_for(2 * Freshness);
+    for (const auto &Router : TestFleet.Routers) {
+      CPPUNIT_ASSERT_EQUAL(5.0, TestFleet.configurationVersion(*Router));
+      CPPUNIT_ASSERT(TestFleet.proofAge(*Router) < 1.9);
+    }
+  }
+
   // Guards against one report with a damaged era, after which a router drops
   // all that the store sends.
   void implausibleEraDoesNotHideTheStore() {
--- a/tests/unit-platform-store.cpp
+++ b/tests/unit-platform-store.cpp
@@ -30,6 +30,7 @@
   CPPUNIT_TEST(endlessResponseIsAnError);
   CPPUNIT_TEST(firstEraIsKnown);
   CPPUNIT_TEST(confirmedEraIsRead);
+  CPPUNIT_TEST(reportedEraThatTheStoreRefutesIsDropped);
   CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -318,6 +319,23 @@
     CPPUNIT_ASSERT_EQUAL(std::uint64_t{0},
                          valueOf(F.read()).ConfirmedEra.Value);
   }
+
+  // Guards against a store whose responses are all dropped, as another router
+  // reported an era that does not exist.
+  void reportedEraThatTheStoreRefutesIsDropped() {
+    StoreFixture F;
+    const auto First = F.read();
+    CPPUNIT_ASSERT(isOk(First));
+    F.Client.observeEra(dataplane::StoreEra(valueOf(First).Era.Value + 2));
+    const auto Second = F.read();
+    CPPUNIT_ASSERT(isOk(Second));
+    CPPUNIT_ASSERT(valueOf(Second).Era == valueOf(First).Era);
+    CPPUNIT_ASSERT_EQUAL(std::size_t(5), valueOf(Second).Upstreams.size());
+    // A restoration is noticed all the same.
+    F.Platform.restore(F.Platform.copy());
+    F.read();
+    CPPUNIT_ASSERT(valueOf(F.read()).Era > valueOf(First).Era);
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(PlatformStoreTest);
