Forget a reported configuration version that the store refutes

Cause: a router reports the newest version that it knows, also from other routers' reports, so that a version which the store has lost stays known. A version that nobody wrote stays known in the same way. A router that starts takes no older configuration. Change: a read that began after the report, in a confirmed era, refutes a version that it does not have. Why it works: the store loses nothing within an era, and a confirmed era misses nothing of earlier ones; a version that some router has read is in every later read. The check configurationStaysKnownWithoutItsReader had a version that was read in era 1 and missing from a store in era 1, which PROTOCOL.md excludes ("The store loses nothing that it has acknowledged").

--- a/include/mallowglade/detail/dataplane/control.hpp
+++ b/include/mallowglade/detail/dataplane/control.hpp
@@ -86,6 +86,13 @@
   bool heardFleet(TimePoint Now) const;
   /// @return newest configuration version that this router or a live one has
   ConfigurationVersion newestKnownConfiguration() const;
+  /// @brief Decides whether a read shows that no configuration with a reported
+  ///   version was ever written.
+  ///
+  /// The store loses nothing within an era. Once the era is confirmed, nothing
+  /// is missing from earlier ones either.
+  /// @param Reported version that was reported before the read began
+  bool refutes(const FleetState &Read, ConfigurationVersion Reported) const;
   /// @param KnownConfig newest known configuration when the read was started
   void onState(TimePoint ReadStart, ConfigurationVersion KnownConfig,
                Result<FleetState> State);
@@ -156,6 +163,9 @@
   TimePoint NextEraConfirmation{};
   /// Time at which another router reported `KnownEra`.
   TimePoint EraReportedAt{};
+  /// Reported version that the store refuted; such a version, and later ones,
+  /// count only once they are read. 0 if there is none.
+  ConfigurationVersion RefutedConfig;
   /// Latest reported era that the store refuted; 0 if there is none.
   StoreEra RefutedEra;
   /// True while the store holds an older configuration than the fleet.
--- a/include/mallowglade/detail/dataplane/peer_directory.hpp
+++ b/include/mallowglade/detail/dataplane/peer_directory.hpp
@@ -80,8 +80,9 @@
   /// @return true if at least half of the other live routers accept callers, so
   ///   that they can take over those of this one
   bool othersAcceptCallers() const;
+  /// @param Below only versions below this one count; 0: all count
   /// @return newest configuration version that a live router reports; 0 if none
-  ConfigurationVersion newestConfiguration() const;
+  ConfigurationVersion newestConfiguration(ConfigurationVersion Below) const;
   /// @return what live routers report about an era of the metadata store
   PeerEraReports eraReports(StoreEra Era) const;
   /// @return true if a registered router was not heard from
--- a/src/dataplane/control.cpp
+++ b/src/dataplane/control.cpp
@@ -141,7 +141,14 @@
   Store.read([this, ReadStart, KnownConfig = newestKnownConfiguration()](
                  Result<FleetState> State) {
     ReadInProgress = false;
-    onState(ReadStart, KnownConfig, std::move(State));
+    if (isOk(State) && refutes(valueOf(State), KnownConfig)) {
+      RefutedConfig = KnownConfig;
+      Log.write("reported_configuration_refuted",
+                {{"version", std::int64_t(KnownConfig.Value)}});
+      onState(ReadStart, newestKnownConfiguration(), std::move(State));
+    } else {
+      onState(ReadStart, KnownConfig, std::move(State));
+    }
   });
 }
 
@@ -168,7 +175,7 @@
 }
 
 bool Control::heardFleet(TimePoint Now) const {
-  if (Peers.newestConfiguration().Value > 0)
+  if (Peers.newestConfiguration({}).Value > 0)
     return true;
   const auto Waited = Now - StartedAt;
   return Peers.anyRegisteredUnheard()
@@ -178,8 +185,17 @@
              : Peers.liveRouters() > 1 || Waited >= MaxPeerWait;
 }
 
+bool Control::refutes(const FleetState &Read,
+                      ConfigurationVersion Reported) const {
+  const bool IsSettled = Read.Era.Value != 0 && Read.Era == KnownEra &&
+                         Read.ConfirmedEra == Read.Era;
+  if (!IsSettled || !Read.Config || Read.Config->Version >= Reported)
+    return false;
+  return !View.Config || View.Config->Version <= Read.Config->Version;
+}
+
 ConfigurationVersion Control::newestKnownConfiguration() const {
-  const ConfigurationVersion OfPeers = Peers.newestConfiguration();
+  const ConfigurationVersion OfPeers = Peers.newestConfiguration(RefutedConfig);
   return View.Config ? std::max(OfPeers, View.Config->Version) : OfPeers;
 }
 
@@ -241,6 +257,8 @@
                                           : !ConfigBehind);
   if (Newer) {
     View.Config = std::move(Read);
+    if (View.Config->Version >= RefutedConfig)
+      RefutedConfig = {};
     Log.write("configuration",
               {{"version", std::int64_t(View.Config->Version.Value)},
                {"routes", std::int64_t(View.Config->Routes.size())},
@@ -289,6 +307,8 @@
   if (ViewEra.Value != 0 && Read.Era > KnownEra)
     Log.write("store_restored", {{"era", std::int64_t(Read.Era.Value)},
                                  {"previous", std::int64_t(ViewEra.Value)}});
+  if (Read.Era != ViewEra)
+    RefutedConfig = {};
   KnownEra = ViewEra = Read.Era;
   Peers.setRegistered(Read.Routers);
   // The others may know that the store lost a newer configuration.
--- a/src/dataplane/peer_directory.cpp
+++ b/src/dataplane/peer_directory.cpp
@@ -375,14 +375,19 @@
   return Ready > 0 && 2 * Ready >= Live;
 }
 
-ConfigurationVersion PeerDirectory::newestConfiguration() const {
+ConfigurationVersion
+PeerDirectory::newestConfiguration(ConfigurationVersion Below) const {
   ConfigurationVersion Newest;
+  const auto Add = [&Newest, Below](ConfigurationVersion Reported) {
+    if (Below.Value == 0 || Reported < Below)
+      Newest = std::max(Newest, Reported);
+  };
   for (const auto &[Id, Router] : Peers)
     if (inSameZone(Router) && isLive(Router))
-      Newest = std::max(Newest, Router.LastReport.Config);
+      Add(Router.LastReport.Config);
   for (const auto &[Zone, ZoneDigest] : Digests)
     if (Time.now() - ZoneDigest.ReceivedAt < DigestLifetime)
-      Newest = std::max(Newest, ZoneDigest.LastReport.Config);
+      Add(ZoneDigest.LastReport.Config);
   return Newest;
 }
 
--- a/tests/integration/test-node-foreign-bytes.cpp
+++ b/tests/integration/test-node-foreign-bytes.cpp
@@ -239,7 +239,7 @@
   }
 
   // Guards against a damaged report between routers that ends its receivers,
-  // or after which they accept nothing that the store sends.
+  // or after which they accept no credential, or nothing that the store sends.
   void damagedReportsEndNoRouter() {
     using namespace mallowglade;
     Deployment Fleet;
@@ -254,6 +254,8 @@
     Reports[1].Ready = true;
     Reports[2].Zone = ZoneId("zone-b");
     Reports[2].Members.push_back({RouterId("x"), "\xff", true});
+    Reports[3].Config =
+        dataplane::ConfigurationVersion(std::uint64_t(1) << 40U);
     Reports[4].Sequence = 2;
     Reports[4].Era = dataplane::StoreEra(7);
     asio::io_context Context;
--- a/tests/support/limit_simulation.cpp
+++ b/tests/support/limit_simulation.cpp
@@ -119,7 +119,7 @@
     // As in `Control`, a router takes callers once it has heard from one that
     // does, or has waited for the others.
     if (!Router->Serves)
-      Router->Serves = Router->Peers.newestConfiguration().Value > 0 ||
+      Router->Serves = Router->Peers.newestConfiguration({}).Value > 0 ||
                        At - Router->StartedAt >= PeerWait;
     if (Router->Serves)
       arrive(Index, *Router);
--- a/tests/unit-dataplane-control.cpp
+++ b/tests/unit-dataplane-control.cpp
@@ -261,6 +261,7 @@
   CPPUNIT_TEST(overloadedRouterHandsItsCallersOver);
   CPPUNIT_TEST(restorationIsToldToAllRouters);
   CPPUNIT_TEST(reportWithoutAddressesEndsNoRouter);
+  CPPUNIT_TEST(claimedVersionThatNobodyWroteIsForgotten);
   CPPUNIT_TEST(claimedEraThatTheStoreRefutesIsForgotten);
   CPPUNIT_TEST(implausibleEraDoesNotHideTheStore);
   CPPUNIT_TEST(restoredConfigurationProvesNothing);
@@ -410,6 +411,30 @@
                            TestFleet.countAdvertisedRouters(*Router));
   }
 
+  // Guards against one report with a damaged version, which routers would tell
+  // each other from then on: no credential is accepted any more.
+  void claimedVersionThatNobodyWroteIsForgotten() {
+    Fleet TestFleet;
+    TestFleet.State.Era = TestFleet.State.ConfirmedEra = StoreEra(1);
+    TestFleet.State.Config = makeConfiguration(4);
+    TestFleet.Context.run_for(Milliseconds(1'500));
+    PeerReport Report = makeStrangersReport();
+    Report.Era = StoreEra(1);
+    Report.Config = ConfigurationVersion(std::uint64_t(1) << 40U);
+    TestFleet.sendToAll(Report);
+    TestFleet.Context.run_for(2 * Freshness);
+    for (const auto &Router : TestFleet.Routers)
+      CPPUNIT_ASSERT(TestFleet.proofAge(*Router) < 1.9);
+    // One that starts now takes the configuration of the store.
+    TestFleet.Routers.push_back(std::make_unique<TestRouter>(
+        TestFleet.Context, "a", TestFleet.State, 7));
+    TestFleet.State.Routers.push_back(TestFleet.Routers.back()->record());
+    CPPUNIT_ASSERT(!TestFleet.Routers.back()->State.start());
+    TestFleet.Context.run_for(2 * Freshness);
+    CPPUNIT_ASSERT_EQUAL(
+        4.0, TestFleet.configurationVersion(*TestFleet.Routers.back()));
+  }
+
   // Guards against one report with a slightly damaged era, after which a router
   // drops all that the store sends.
   void claimedEraThatTheStoreRefutesIsForgotten() {
@@ -577,8 +602,9 @@
     CPPUNIT_ASSERT(TestFleet.proofAge(Restarted) < 1.9);
   }
 
-  // Guards against forgetting that a newer configuration exists when the only
-  // router that has read it is gone: the others would accept what it withdrew.
+  // Guards against forgetting that a newer configuration exists when the store
+  // came back without it and the only router that has read it is gone: the
+  // others would accept what it withdrew.
   void configurationStaysKnownWithoutItsReader() {
     Fleet TestFleet;
     TestFleet.State.Era = StoreEra(1);
@@ -596,8 +622,12 @@
     asio::ip::udp::socket Reader(TestFleet.Context, asio::ip::udp::v4());
     Reader.send_to(asio::buffer(encodeReport(Report)),
                    {asio::ip::make_address(Target.Host), Target.Port});
-    // A zone's digest is used for up to 2.5 s.
-    constexpr Milliseconds ForgottenAfter{4'000};
+    TestFleet.State.Era = StoreEra(2);
+    // A zone's digest is used for up to 2.5 s, and restored stores are waited
+    // for by the hold time.
+    const Milliseconds ForgottenAfter =
+        TestFleet.Routers.front()->Settings.RestoredStoreHold +
+        Milliseconds(4'000);
     TestFleet.Context.run_for(ForgottenAfter);
     for (const auto &Router : TestFleet.Routers)
       CPPUNIT_ASSERT(TestFleet.proofAge(*Router) > 1.9);
