Accept only names that can be printed in records of members

Cause: names in records were any bytes. The JSON library throws when it prints bytes that are no UTF-8; the view of the members is printed on the control thread, which catches nothing. That the process ends was read, not played. Change: names are valid UTF-8 without control characters, 256 bytes at most. Views that show names of other processes replace what cannot be printed. unit-foreign-bytes asks that accepted reports can be used and accepted records printed.

--- a/src/membership/member_codec.cpp
+++ b/src/membership/member_codec.cpp
@@ -1,5 +1,6 @@
 #include <mallowglade/membership.hpp>
 
+#include <mallowglade/detail/core/json_text.hpp>
 #include <mallowglade/detail/core/unpack_limit.hpp>
 
 #include <msgpack.hpp>
@@ -24,19 +25,29 @@
   Output.pack(Record.CallerAddress);
 }
 
+/// Reads a name or an address; both are shown to callers and operators.
+/// Throws msgpack::type_error if it cannot be printed.
+std::string readName(const msgpack::object &Source) {
+  constexpr std::size_t MaxNameBytes = 256;
+  auto Name = Source.as<std::string>();
+  if (Name.size() > MaxNameBytes || !detail::isPrintableText(Name))
+    throw msgpack::type_error();
+  return Name;
+}
+
 /// Throws msgpack::type_error if a field has the wrong type, and
 /// std::out_of_range if a field is missing.
 MemberRecord readRecord(const msgpack::object &Source) {
   const auto Fields = Source.as<std::vector<msgpack::object>>();
   MemberRecord Record;
-  Record.Id = RouterId(Fields.at(0).as<std::string>());
+  Record.Id = RouterId(readName(Fields.at(0)));
   Record.Start = Incarnation(Fields.at(1).as<std::uint64_t>());
   Record.VersionCounter = Fields.at(2).as<std::uint32_t>();
   const auto State = Fields.at(3).as<std::uint8_t>();
   Record.State = static_cast<MemberState>(std::min<std::uint8_t>(State, 2));
   Record.Leaving = Fields.at(4).as<bool>();
-  Record.Zone = ZoneId(Fields.at(5).as<std::string>());
-  Record.CallerAddress = Fields.at(6).as<std::string>();
+  Record.Zone = ZoneId(readName(Fields.at(5)));
+  Record.CallerAddress = readName(Fields.at(6));
   return Record;
 }
 
@@ -48,7 +59,7 @@
   MemberMessage Message;
   Message.Kind = static_cast<MemberMessageKind>(Kind);
   Message.Sequence = Fields.at(1).as<std::uint64_t>();
-  Message.Target = RouterId(Fields.at(2).as<std::string>());
+  Message.Target = RouterId(readName(Fields.at(2)));
   Message.Version = SettingsVersion(Fields.at(3).as<std::uint64_t>());
   Message.Digest = Fields.at(4).as<std::uint64_t>();
   for (const auto &Item : Fields.at(5).as<std::vector<msgpack::object>>())
--- a/src/router/cell_status.cpp
+++ b/src/router/cell_status.cpp
@@ -96,7 +96,8 @@
   }
   const nlohmann::json Document{{"router", Members->self().Id.Value},
                                 {"cells", std::move(Cells)}};
-  return Document.dump();
+  return Document.dump(-1, ' ', false,
+                       nlohmann::json::error_handler_t::replace);
 }
 
 void CellDispatcher::measure() {
--- a/src/router/front_end.cpp
+++ b/src/router/front_end.cpp
@@ -322,7 +322,9 @@
 void FrontEnd::State::serveAddresses(httplib::Response &Response) {
   const nlohmann::json Document{{"addresses", addresses()},
                                 {"ttl_s", Context.Settings.AddressTtl.count()}};
-  Response.set_content(Document.dump(), "application/json");
+  Response.set_content(
+      Document.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace),
+      "application/json");
 }
 
 void FrontEnd::State::serveAnswer(const httplib::Request &Request,
--- a/src/router/member_view.cpp
+++ b/src/router/member_view.cpp
@@ -65,7 +65,7 @@
       {"registered", Registered},
       {"registration_in_force", Registration->registered()},
       {"members", List}};
-  return View.dump();
+  return View.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
 }
 
 } // namespace mallowglade
--- a/tests/unit-foreign-bytes.cpp
+++ b/tests/unit-foreign-bytes.cpp
@@ -136,6 +136,31 @@
   return Report;
 }
 
+/// Reports are sent to the senders of others, and callers are told the
+/// addresses in them.
+bool isUsable(const dataplane::PeerReport &Report) {
+  return std::isfinite(Report.WorkLimitFactorSum) &&
+         isNumericAddress(Report.Sender.Value) &&
+         isNumericAddress(Report.CallerAddress) &&
+         std::all_of(Report.Members.begin(), Report.Members.end(),
+                     [](const dataplane::ZoneMember &Member) {
+                       return isNumericAddress(Member.Id.Value) &&
+                              isNumericAddress(Member.CallerAddress);
+                     });
+}
+
+/// Records of members are shown to callers and operators.
+bool isPrintable(const MemberMessage &Message) {
+  try {
+    for (const MemberRecord &Record : Message.Updates)
+      nlohmann::json{Record.Id.Value, Record.Zone.Value, Record.CallerAddress}
+          .dump();
+    return true;
+  } catch (const nlohmann::json::type_error &) {
+    return false;
+  }
+}
+
 std::string readFile(const std::string &Name) {
   std::ifstream File(Name, std::ios::binary);
   std::ostringstream Text;
@@ -291,8 +316,7 @@
     expectNone(fuzz("reports", {Example}, {std::string("\x91\x91\x91", 3)},
                     [](const std::string &Input) {
                       const auto Read = dataplane::decodeReport(Input);
-                      return !isOk(Read) ||
-                             std::isfinite(valueOf(Read).WorkLimitFactorSum);
+                      return !isOk(Read) || isUsable(valueOf(Read));
                     }));
     expectNone(nestedBytes([](const std::string &Input) {
       return !isOk(dataplane::decodeReport(Input)) && !decodeCrashReport(Input);
@@ -319,6 +343,9 @@
   void messagesOfClaimsAndMembers() {
     MemberMessage Member;
     Member.Updates.resize(2);
+    Member.Updates.front().Id = RouterId("10.1.0.33:7400");
+    Member.Updates.front().Zone = ZoneId("a");
+    Member.Updates.front().CallerAddress = "10.1.0.33:8783";
     const auto Parse = [](const std::string &Input) {
       claim_codec::decodeRequest(Input);
       claim_codec::decodeAnswer(Input);
@@ -328,8 +355,8 @@
       decodeHead(Input);
       decodeQuarantine(Input);
       decodeCrashReport(Input);
-      decodeMemberMessage(Input);
-      return true;
+      const auto Member = decodeMemberMessage(Input);
+      return !isOk(Member) || isPrintable(valueOf(Member));
     };
     expectNone(fuzz("claims and members",
                     {claim_codec::encode(ClaimRequest()),
--- a/tests/unit-membership.cpp
+++ b/tests/unit-membership.cpp
@@ -310,6 +310,7 @@
   CPPUNIT_TEST_SUITE(MemberRecordsTest);
   CPPUNIT_TEST(messageRoundTripKeepsFields);
   CPPUNIT_TEST(malformedMessageIsRejected);
+  CPPUNIT_TEST(namesThatCannotBePrintedAreRejected);
   CPPUNIT_TEST(updateTransmissionsAreLimited);
   CPPUNIT_TEST(listedRouterCountsWithoutRegistration);
   CPPUNIT_TEST(delistedAndDepartedRoutersDoNotCount);
@@ -340,6 +341,24 @@
     CPPUNIT_ASSERT(Passed);
   }
 
+  // Guards against a record that ends the process, or makes each lookup of
+  // addresses fail, when it is printed for operators and callers.
+  void namesThatCannotBePrintedAreRejected() {
+    for (const std::string &Text :
+         {std::string("\xff\xfe"), std::string("\xed\xa0\x80"),
+          std::string("a\nb"), std::string(300, 'a')}) {
+      MemberMessage Sent = exampleMessage();
+      Sent.Updates.front().Id = RouterId(Text);
+      CPPUNIT_ASSERT(!isOk(decodeMemberMessage(encodeMemberMessage(Sent))));
+      Sent = exampleMessage();
+      Sent.Updates.front().Zone = ZoneId(Text);
+      CPPUNIT_ASSERT(!isOk(decodeMemberMessage(encodeMemberMessage(Sent))));
+      Sent = exampleMessage();
+      Sent.Updates.front().CallerAddress = Text;
+      CPPUNIT_ASSERT(!isOk(decodeMemberMessage(encodeMemberMessage(Sent))));
+    }
+  }
+
   // Guards against updates that are sent forever or never.
   void updateTransmissionsAreLimited() {
     UpdateQueue Queue;
