Write log lines that are JSON whatever callers send

Cause: both loggers passed on all bytes above 0x1f, of any length, and numbers that are not finite. Evidence: unit-event-log linesAreJsonWhateverCallersSend failed before. Change: one function for both. Bytes that are no UTF-8 become U+FFFD, texts are cut at 1 KiB, numbers that are not finite are null.

--- a/src/dataplane/event_log.cpp
+++ b/src/dataplane/event_log.cpp
@@ -1,9 +1,12 @@
 #include <mallowglade/detail/dataplane/event_log.hpp>
 
+#include <mallowglade/detail/core/json_text.hpp>
+
 #include <fcntl.h>
 #include <unistd.h>
 
 #include <algorithm>
+#include <cmath>
 
 namespace mallowglade::dataplane {
 
@@ -14,29 +17,19 @@
 /// Largest burst, as the number of seconds of the sustained rate.
 constexpr double BurstSeconds = 4;
 
-void appendEscaped(std::string &Out, std::string_view Text) {
-  constexpr unsigned char FirstPrintable = 0x20;
-  for (const char C : Text) {
-    if (C == '"' || C == '\\')
-      Out += '\\';
-    if (static_cast<unsigned char>(C) < FirstPrintable)
-      fmt::format_to(std::back_inserter(Out), "\\u{:04x}",
-                     static_cast<unsigned>(C));
-    else
-      Out += C;
-  }
-}
-
 void appendValue(std::string &Out, const EventField &Field) {
   if (const auto *Text = std::get_if<std::string_view>(&Field.Value)) {
     Out += '"';
-    appendEscaped(Out, *Text);
+    detail::appendJsonText(Out, *Text);
     Out += '"';
   } else if (const auto *Integer = std::get_if<std::int64_t>(&Field.Value)) {
     fmt::format_to(std::back_inserter(Out), "{}", *Integer);
   } else {
-    fmt::format_to(std::back_inserter(Out), "{:.3f}",
-                   std::get<double>(Field.Value));
+    const double Number = std::get<double>(Field.Value);
+    if (std::isfinite(Number))
+      fmt::format_to(std::back_inserter(Out), "{:.3f}", Number);
+    else
+      Out += "null";
   }
 }
 
--- a/src/telemetry/log.cpp
+++ b/src/telemetry/log.cpp
@@ -1,5 +1,7 @@
 #include <mallowglade/telemetry.hpp>
 
+#include <mallowglade/detail/core/json_text.hpp>
+
 #include <fmt/chrono.h>
 #include <fmt/format.h>
 
@@ -24,16 +26,8 @@
 }
 
 std::string escape(std::string_view Text) {
-  constexpr unsigned char FirstPrintable = 0x20;
   std::string Escaped;
-  for (const char C : Text) {
-    if (C == '"' || C == '\\')
-      Escaped += '\\';
-    if (static_cast<unsigned char>(C) < FirstPrintable)
-      Escaped += fmt::format("\\u{:04x}", static_cast<unsigned>(C));
-    else
-      Escaped += C;
-  }
+  detail::appendJsonText(Escaped, Text);
   return Escaped;
 }
 
