Try errors in mid-stream in all framings of both responses

Cause: the test varied the framing of the error only. Change: 72 cases: both kinds of streams, three framings of the stream, three of the error, and four heads of it (an error, an error with the type of streams, a refusal, a success that is no stream). None may show the text, a second head, or a last chunk.

--- a/tests/integration/test-node-foreign-bytes.cpp
+++ b/tests/integration/test-node-foreign-bytes.cpp
@@ -179,7 +179,9 @@
   // and against a stream that ends as if it were complete.
   void errorInMidStreamReachesNoCaller() {
     const std::string Text = "the engine has failed";
-    std::string Framing;
+    std::string BegunFraming;
+    std::string ErrorFraming;
+    std::string ErrorHead;
     std::atomic<int> Requests{0};
     const auto Script = [&](ScriptedConnection &Connection,
                             const std::string &Request) {
@@ -187,55 +189,61 @@
                              fieldOf(Request, "Mallowglade-Attempt-Id") +
                              "\r\n";
       if (Requests++ == 0) {
-        Connection.send("HTTP/1.1 200 OK\r\n" + Id + Signature +
-                        "Content-Type: text/event-stream\r\n"
-                        "Transfer-Encoding: chunked\r\n\r\n" +
-                        chunkOf("id: 1\ndata: e1\n\n"));
-      } else {
-        const std::string Head = "HTTP/1.1 500 Failed\r\n" + Id + Signature;
-        if (Framing == "length")
-          Connection.send(responseTo(Request, "500 Failed", Signature, Text));
-        else if (Framing == "chunks")
-          Connection.send(Head + "Transfer-Encoding: chunked\r\n\r\n" +
-                          chunkOf(Text) + "0\r\n\r\n");
-        else
-          Connection.send(Head + "\r\n" + Text);
+        sendBeginOfStream(Connection, Id, BegunFraming);
+        return;
       }
+      const std::string Head = ErrorHead + Id + Signature;
+      if (ErrorFraming == "length")
+        Connection.send(Head + "Content-Length: " +
+                        std::to_string(Text.size()) + "\r\n\r\n" + Text);
+      else if (ErrorFraming == "chunks")
+        Connection.send(Head + "Transfer-Encoding: chunked\r\n\r\n" +
+                        chunkOf(Text) + "0\r\n\r\n");
+      else
+        Connection.send(Head + "\r\n" + Text);
       Connection.close();
     };
     std::vector<std::unique_ptr<ScriptedServer>> Servers;
-    Servers.reserve(2);
-    for (int Number = 0; Number < 2; ++Number)
+    // An upstream that broke off a stream gets nothing for a moment.
+    constexpr int ServerCount = 16;
+    Servers.reserve(ServerCount);
+    for (int Number = 0; Number < ServerCount; ++Number)
       Servers.push_back(
           std::make_unique<ScriptedServer>("127.0.0.1", 0, Script));
     Deployment Fleet;
     useOnly(Servers);
+    const std::string PlainError = "HTTP/1.1 500 Failed\r\n";
+    const std::string StreamError =
+        PlainError + "Content-Type: text/event-stream\r\n";
+    const std::string Refusal =
+        "HTTP/1.1 503 Full\r\nMallowglade-Not-Executed: 1\r\n";
+    const std::string PlainSuccess = "HTTP/1.1 200 OK\r\n";
     int Round = 0;
-    for (const std::string Each : {"length", "chunks", "close", "length once",
-                                   "chunks once", "close once"}) {
-      Framing = Each.substr(0, Each.find(' '));
-      const std::string Route = Framing == Each ? "/stream/" : "/once/";
-      std::string Raw;
-      // Upstreams that broke off a stream get nothing for a moment.
-      CPPUNIT_ASSERT(waitUntil([&] {
-        Requests = 0;
-        const std::string Name = "s" + std::to_string(++Round);
-        Raw = fleet::exchangeRaw(
-            fmt::format("127.0.0.1:{}", FirstNodePort),
-            fmt::format("POST {}{} HTTP/1.1\r\nHost: api.example\r\n"
-                        "Mallowglade-Attempt-Id: {}\r\n"
-                        "Mallowglade-Deadline-Ms: 3000\r\n"
-                        "Authorization: Bearer key\r\n"
-                        "Connection: close\r\nContent-Length: 0\r\n\r\n",
-                        Route, Name, Name));
-        return !Raw.starts_with("HTTP/1.1 503");
-      }));
-      CPPUNIT_ASSERT_MESSAGE(Each + Raw,
-                             Raw.find("data: e1") != std::string::npos);
-      CPPUNIT_ASSERT_MESSAGE(Each, Raw.find(Text) == std::string::npos);
-      CPPUNIT_ASSERT_MESSAGE(Each,
-                             Raw.find("\r\n0\r\n\r\n") == std::string::npos);
-    }
+    for (const std::string Route : {"/stream/", "/once/"})
+      for (const std::string Begun : {"chunks", "length", "close"})
+        for (const std::string Error : {"length", "chunks", "close"})
+          for (const std::string &Head :
+               {PlainError, StreamError, Refusal, PlainSuccess}) {
+            BegunFraming = Begun;
+            ErrorFraming = Error;
+            ErrorHead = Head;
+            const std::string Case =
+                fmt::format("{} {} {} {}: ", Route, Begun, Error, Head);
+            std::string Raw;
+            CPPUNIT_ASSERT(waitUntil([&] {
+              Requests = 0;
+              Raw = requestStream(Route, "s" + std::to_string(++Round));
+              return !Raw.starts_with("HTTP/1.1 503");
+            }));
+            CPPUNIT_ASSERT_MESSAGE(Case + Raw,
+                                   Raw.find("data: e1") != std::string::npos);
+            CPPUNIT_ASSERT_MESSAGE(Case + Raw,
+                                   Raw.find(Text) == std::string::npos);
+            CPPUNIT_ASSERT_MESSAGE(Case + Raw, Raw.find("HTTP/1.1", 1) ==
+                                                   std::string::npos);
+            CPPUNIT_ASSERT_MESSAGE(Case + Raw, Raw.find("\r\n0\r\n\r\n") ==
+                                                   std::string::npos);
+          }
   }
 
   // Guards against a damaged report between routers that ends its receivers,
@@ -284,6 +292,37 @@
   }
 
 private:
+  /// Sends the first event of a stream and breaks off.
+  static void sendBeginOfStream(ScriptedConnection &Connection,
+                                const std::string &Id,
+                                const std::string &Framing) {
+    const std::string Event = "id: 1\ndata: e1\n\n";
+    const std::string Head = "HTTP/1.1 200 OK\r\n" + Id + Signature +
+                             "Content-Type: text/event-stream\r\n";
+    if (Framing == "chunks")
+      Connection.send(Head + "Transfer-Encoding: chunked\r\n\r\n" +
+                      chunkOf(Event));
+    else if (Framing == "length")
+      Connection.send(Head + "Content-Length: 4000\r\n\r\n" + Event);
+    else
+      // Only the begun event tells that this stream has not ended.
+      Connection.send(Head + "\r\n" + Event + "id: 2\nda");
+    Connection.close();
+  }
+
+  /// @return all bytes of the response
+  static std::string requestStream(const std::string &Route,
+                                   const std::string &Id) {
+    return fleet::exchangeRaw(
+        fmt::format("127.0.0.1:{}", FirstNodePort),
+        fmt::format("POST {}{} HTTP/1.1\r\nHost: api.example\r\n"
+                    "Mallowglade-Attempt-Id: {}\r\n"
+                    "Mallowglade-Deadline-Ms: 3000\r\n"
+                    "Authorization: Bearer key\r\n"
+                    "Connection: close\r\nContent-Length: 0\r\n\r\n",
+                    Route, Id, Id));
+  }
+
   /// Lets upstreams refuse requests and send the refusals once more.
   static void repeatRefusals(const std::string &Path, bool BeforeTheNext) {
     std::mutex Mutex;
