--- a/tests/support/paged_store.hpp
+++ b/tests/support/paged_store.hpp
@@ -57,6 +57,7 @@
     Server.set_post_routing_handler([this](const auto &, auto &Response) {
       Response.set_header("Store-Era", std::to_string(Era));
     });
+    Server.set_tcp_nodelay(true);
     Port = Server.bind_to_any_port("127.0.0.1");
     Thread = std::thread([this] { Server.listen_after_bind(); });
     while (!Server.is_running())
--- a/tests/unit-foreign-bytes.cpp
+++ b/tests/unit-foreign-bytes.cpp
@@ -1,6 +1,7 @@
 #include "../platform/entries.hpp"
 #include "../platform/wire.hpp"
 #include "support/byte_mutator.hpp"
+#include "support/paged_store.hpp"
 
 #include <mallowglade/dataplane.hpp>
 #include <mallowglade/detail/platform/base64.hpp>
@@ -188,6 +189,8 @@
   CPPUNIT_TEST(settings);
   CPPUNIT_TEST(documentsOfCallersAndEngines);
   CPPUNIT_TEST(base64);
+  CPPUNIT_TEST(repliesOfThePlatformStore);
+  CPPUNIT_TEST(repliesOfTheKeyValueService);
   CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -440,6 +443,74 @@
                     }));
   }
 
+  void repliesOfThePlatformStore() {
+    using mallowglade::testing::StoreFixture;
+    StoreFixture F;
+    F.Platform.put("i-9", "draining");
+    const std::string Entry =
+        R"({"key":"servers/i-1","revision":7,"created":3,"lease":0,"value":")" +
+        detail::encodeBase64(UpstreamEntry) + "\"}";
+    const std::string Config =
+        R"({"key":"op/config","revision":8,"created":3,"lease":0,"value":")" +
+        detail::encodeBase64(ConfigurationEntry) + "\"}";
+    expectNone(fuzz(
+        "platform store",
+        {R"({"at":9,"has_more":false,"entries":[)" + Entry + "," + Config +
+             "]}",
+         R"({"at":9,"events":[)" + Entry +
+             R"(,{"key":"servers/i-2","revision":9,"deleted":true}]})",
+         R"({"lease":7,"ttl_ms":9000,"revision":11})"},
+        {"\"has_more\":true", "\"entries\":", "\"events\":", "\"deleted\":"},
+        [&](const std::string &Input) {
+          F.Platform.ReplacedBody = Input;
+          F.read();
+          F.registerRouter();
+          F.Platform.ReplacedBody.reset();
+          // The first read may find that its position is none of the store's.
+          const bool Follows = isOk(F.read()) || isOk(F.read());
+          return Follows && F.readyUpstreams().size() == 5;
+        }));
+  }
+
+  void repliesOfTheKeyValueService() {
+    httplib::Server Service;
+    std::string Reply;
+    Service.set_pre_routing_handler([&](const auto &, auto &Response) {
+      Response.set_content(Reply, "application/json");
+      return httplib::Server::HandlerResponse::Handled;
+    });
+    Service.set_tcp_nodelay(true);
+    const int Port = Service.bind_to_any_port("127.0.0.1");
+    std::thread Thread([&] { Service.listen_after_bind(); });
+    while (!Service.is_running())
+      std::this_thread::yield();
+    constexpr Milliseconds Timeout{1'000};
+    EtcdStore Client({"127.0.0.1:" + std::to_string(Port)}, Timeout);
+    const std::string Failed = fuzz(
+        "key-value service",
+        {R"({"header":{"revision":"7"},"kvs":[{"key":"YQ==","value":"YWI=",)"
+         R"("mod_revision":"5"}],"count":"1"})",
+         R"({"header":{"revision":"7"},"succeeded":true})",
+         R"({"ID":"7","TTL":"9"})", R"({"result":{"ID":"7","TTL":"9"}})",
+         R"({"result":{"events":[{"kv":{"key":"YQ==","value":"YWI=",)"
+         R"("mod_revision":"5"}}]}})"
+         "\n"},
+        {"\"kvs\":", "\"result\":", "\"events\":", "\"header\":"},
+        [&](const std::string &Input) {
+          Reply = Input;
+          Client.read("a");
+          Client.readPrefix("a");
+          Client.commit({});
+          Client.grantLease(std::chrono::seconds(9));
+          Client.keepAlive(LeaseId(7));
+          Client.waitForChange("a", Revision(4), Timeout);
+          return true;
+        });
+    Service.stop();
+    Thread.join();
+    expectNone(Failed);
+  }
+
 private:
   /// Parses arrays within arrays in the binary format.
   static std::string
--- a/tests/unit-platform-store.cpp
+++ b/tests/unit-platform-store.cpp
@@ -28,6 +28,7 @@
   CPPUNIT_TEST(foreignQuarantineEntriesAreSkipped);
   CPPUNIT_TEST(responsesOfAnotherFormAreErrors);
   CPPUNIT_TEST(endlessResponseIsAnError);
+  CPPUNIT_TEST(responsesThatDoNotAdvanceEndTheRead);
   CPPUNIT_TEST(firstEraIsKnown);
   CPPUNIT_TEST(confirmedEraIsRead);
   CPPUNIT_TEST(reportedEraThatTheStoreRefutesIsDropped);
@@ -290,6 +291,23 @@
     CPPUNIT_ASSERT(errorOf(Read).Detail.find("exceeds") != std::string::npos);
   }
 
+  // Guards against a read that never ends and fills the processor, as each
+  // response announces more and repeats what was read.
+  void responsesThatDoNotAdvanceEndTheRead() {
+    std::string Changes;
+    for (int Number = 0; Number < 300; ++Number)
+      Changes += std::string(Number == 0 ? "" : ",") + R"({"key":"x"})";
+    for (const std::string &Body :
+         {std::string(R"({"at":5,"has_more":true,"entries":[{"key":"a"}]})"),
+          R"({"at":5,"entries":[],"events":[)" + Changes + "]}"}) {
+      StoreFixture F;
+      F.Platform.ReplacedBody = Body;
+      CPPUNIT_ASSERT(!isOk(F.read()));
+      F.Platform.ReplacedBody.reset();
+      CPPUNIT_ASSERT_EQUAL(std::size_t(5), F.readyUpstreams().size());
+    }
+  }
+
   // Guards against a first restoration that is not noticed: the platform counts
   // from 0, which must not be taken for an era that nobody told.
   void firstEraIsKnown() {
