--- a/tests/support/limit_simulation.cpp
+++ b/tests/support/limit_simulation.cpp
@@ -27,6 +27,20 @@
   return {RouterId(Name), ZoneId("a"), Name, Name};
 }
 
+/// Returns what receivers see of a report, which is what its encoding keeps.
+/// Limits are divided by the names of the routers; those of the simulation are
+/// no addresses, which reports need, and are put back.
+PeerReport received(PeerReport Report) {
+  const RouterId Name = Report.Sender;
+  const std::string CallerAddress = Report.CallerAddress;
+  Report.Sender = RouterId("127.0.0.1:1");
+  Report.CallerAddress = "127.0.0.1:2";
+  Report = valueOf(decodeReport(encodeReport(Report)));
+  Report.Sender = Name;
+  Report.CallerAddress = CallerAddress;
+  return Report;
+}
+
 struct Response {
   unsigned Upstream;
   std::optional<RequestRate> Limit;
@@ -188,10 +202,8 @@
     Report.Config = ConfigurationVersion(Router.Serves ? 1 : 0);
     Report.Limits = Router.Limits.report();
     Report.Demand = Router.Limits.ownDemand();
-    // Receivers see what the encoding keeps; all of them decode the same.
-    Multicast Sent{{},
-                   Time.now() + Scenario.ReportDelay,
-                   valueOf(decodeReport(encodeReport(Report)))};
+    // All receivers decode the same.
+    Multicast Sent{{}, Time.now() + Scenario.ReportDelay, received(Report)};
     for (unsigned To = 0; To < Scenario.Routers; ++To)
       if (To != Index && uniform() >= Scenario.ReportLoss &&
           (!Scenario.Reaches || Scenario.Reaches(Index, To, At)))
