Ask for more crashes before a feature that was answered is blamed

Change: a feature that was answered before, on any router, needs clearly more crashes; its quarantine lets a first request through once upstreams have been quiet.

--- a/include/mallowglade/detail/outcomes/crash_attribution.hpp
+++ b/include/mallowglade/detail/outcomes/crash_attribution.hpp
@@ -37,7 +37,10 @@
 /// quarantine if a harmless feature would hardly meet with as many: the test
 /// compares the likelihood of the crashes if the feature causes them with that
 /// of runs without it being broken off. What a feature in quarantine explains
-/// does not count against others.
+/// does not count against others. A feature that was answered before, on any
+/// router, must have become harmful since, which is rare: it needs more
+/// crashes, and most of all while no harmless runs tell how often upstreams
+/// crash for other causes.
 ///
 /// Observations are exchanged between routers; a process of an upstream
 /// counts once, however many routers report it, and not at all if it responds
@@ -72,6 +75,12 @@
   /// Times after the start of a quarantine at which a probe is let through.
   static constexpr std::array<std::chrono::seconds, 2> ProbeTimes{
       std::chrono::seconds(60), std::chrono::seconds(600)};
+  /// The same for a feature that was answered before. The first one also waits
+  /// until no run has broken off for `ProbeQuietTime`.
+  static constexpr std::array<std::chrono::seconds, 3> AnsweredProbeTimes{
+      std::chrono::seconds(5), std::chrono::seconds(60),
+      std::chrono::seconds(600)};
+  static constexpr Milliseconds ProbeQuietTime{2'000};
 
   /// @param Salt number that differs between routers, so that they let
   ///   requests with a suspected feature through at different times
@@ -180,7 +189,10 @@
   bool isSuspect(const RequestFeature &Feature, const Evidence &Known) const;
   /// @return true if a process has responded after a run on it broke off
   bool hasResponded(UpstreamProcess Process, TimePoint BrokenOffAt) const;
-  /// @return true for an exact request that this router has not seen answered
+  /// @return time of the latest known run with the feature that was answered
+  ///   in full, on any router; nothing if there is none
+  std::optional<TimePoint> lastAnswered(const RequestFeature &Feature) const;
+  /// @return true for an exact request that is not known to have been answered
   bool isUnansweredRequest(const RequestFeature &Feature) const;
   /// @return true if a run broke off at the given time since its process
   ///   crashed, as far as known
@@ -202,7 +214,17 @@
   /// @return the same for all features, from a time on
   std::vector<TimePoint> allUnexplainedCrashes(TimePoint From) const;
   std::vector<Candidate> candidates() const;
-  double backgroundRate(const RequestFeature &Feature) const;
+  /// @return estimated fraction of the runs that break off if the feature is
+  ///   harmless
+  /// @param AnsweredAt time at which the feature was last answered, if it was;
+  ///   its runs up to then count as well
+  double backgroundRate(const RequestFeature &Feature,
+                        std::optional<TimePoint> AnsweredAt) const;
+  /// @return true if a probe of the feature is due
+  bool isProbeDue(const RequestFeature &Feature,
+                  const Quarantine &Current) const;
+  /// @return true if runs with the feature broke off and none was ever answered
+  bool isUnansweredSuspect(const RequestFeature &Feature) const;
   bool isGuilty(const RequestFeature &Feature, const Evidence &Known,
                 std::size_t &Crashes, double &Background) const;
   void beginQuarantine(const RequestFeature &Feature, QuarantineChange Change);
--- a/src/outcomes/crash_attribution.cpp
+++ b/src/outcomes/crash_attribution.cpp
@@ -167,20 +167,45 @@
 }
 
 bool CrashAttribution::takeProbe(const RequestFeatures &Features) {
-  Quarantine *Only = nullptr;
+  const RequestFeature *Only = nullptr;
   for (const RequestFeature &Feature : Features) {
     if (!isQuarantined(Feature))
       continue;
     if (Only != nullptr)
       return false;
-    Only = &Quarantines.at(Feature);
+    Only = &Feature;
   }
-  const bool Due = Only != nullptr && Prober &&
-                   Only->Probes < ProbeTimes.size() &&
-                   Time.now() - Only->Since >= ProbeTimes[Only->Probes];
-  if (Due)
-    ++Only->Probes;
-  return Due;
+  if (Only == nullptr || !Prober)
+    return false;
+  Quarantine &Current = Quarantines.at(*Only);
+  if (!isProbeDue(*Only, Current))
+    return false;
+  // A crash by another feature would tell nothing about a feature that was
+  // answered before.
+  if (lastAnswered(*Only) &&
+      std::any_of(Features.begin(), Features.end(), [&](const auto &Each) {
+        return Each != *Only && isUnansweredSuspect(Each);
+      }))
+    return false;
+  ++Current.Probes;
+  return true;
+}
+
+bool CrashAttribution::isProbeDue(const RequestFeature &Feature,
+                                  const Quarantine &Current) const {
+  const TimePoint Now = Time.now();
+  const auto Age = Now - Current.Since;
+  if (!lastAnswered(Feature))
+    return Current.Probes < ProbeTimes.size() &&
+           Age >= ProbeTimes[Current.Probes];
+  if (Current.Probes >= AnsweredProbeTimes.size() ||
+      Age < AnsweredProbeTimes[Current.Probes])
+    return false;
+  return Current.Probes > 0 || Age >= AnsweredProbeTimes[1] ||
+         std::all_of(Processes.begin(), Processes.end(),
+                     [Now](const auto &Entry) {
+                       return Now - Entry.second.BrokenOffAt >= ProbeQuietTime;
+                     });
 }
 
 bool CrashAttribution::mustWait(const RequestFeatures &Features) {
@@ -238,9 +263,10 @@
   const bool Was = Current.Status.quarantined();
   Current.Status = Entry.Status;
   Current.Probes = Entry.Probes;
+  // Earlier answers do not refute crashes that only other routers know.
+  Current.LastCrashAt = Now;
   if (Current.Status.quarantined()) {
-    // Earlier answers do not refute crashes that only other routers know.
-    Current.Since = Current.LastCrashAt = Now;
+    Current.Since = Now;
   } else {
     EvidenceByFeature.erase(Feature);
   }
@@ -346,7 +372,9 @@
         ageAt(Now, Crash.At);
   for (const auto &[Feature, Known] : EvidenceByFeature) {
     const auto Answered = OwnAnswered.find(Feature);
-    if (Answered != OwnAnswered.end() && Now - Answered->second <= ReportTime)
+    // Routers that started later need to know it while there is evidence.
+    if (Answered != OwnAnswered.end() &&
+        (!Known.Crashes.empty() || Now - Answered->second <= ReportTime))
       Report.Features[Feature].AnsweredAge = ageAt(Now, Answered->second);
   }
   limitFeatures(Report);
--- a/src/outcomes/crash_blame.cpp
+++ b/src/outcomes/crash_blame.cpp
@@ -13,6 +13,9 @@
 /// Bound on the probability that the crashes of a harmless feature put it into
 /// quarantine.
 constexpr double FalseQuarantineRate = 1e-3;
+/// Bound on the probability that a feature becomes harmful after it was
+/// answered.
+constexpr double TurnsHarmfulRate = 1e-3;
 /// Fraction of runs broken off above which it does not tell features apart.
 constexpr double MaxBackgroundRate = 0.5;
 /// If more is broken off, a feature is blamed that most crashes have in common.
@@ -22,6 +25,9 @@
 /// of runs.
 constexpr double PriorRuns = 20;
 constexpr double PriorBrokenOff = 0.5;
+/// The same for features that were answered before.
+constexpr double AnsweredPriorRuns = 4;
+constexpr double AnsweredPriorBrokenOff = MaxBackgroundRate * AnsweredPriorRuns;
 
 bool contains(const RequestFeatures &Features, const RequestFeature &Feature) {
   return std::find(Features.begin(), Features.end(), Feature) != Features.end();
@@ -41,9 +47,10 @@
 }
 
 /// Number of crashes after which a feature is blamed.
-std::size_t crashesNeeded(double Background) {
+/// @param Bound on the probability that this is wrong
+std::size_t crashesNeeded(double Background, double Bound) {
   const double PerCrash = std::log(HarmfulCrashRate / Background);
-  const double Needed = std::ceil(-std::log(FalseQuarantineRate) / PerCrash);
+  const double Needed = std::ceil(-std::log(Bound) / PerCrash);
   return std::max(CrashAttribution::MinCrashes,
                   static_cast<std::size_t>(Needed));
 }
@@ -65,8 +72,26 @@
 
 bool CrashAttribution::isUnansweredRequest(
     const RequestFeature &Feature) const {
-  return Feature.Kind == FeatureKind::ExactRequest &&
-         !OwnAnswered.contains(Feature);
+  return Feature.Kind == FeatureKind::ExactRequest && !lastAnswered(Feature);
+}
+
+std::optional<TimePoint>
+CrashAttribution::lastAnswered(const RequestFeature &Feature) const {
+  std::optional<TimePoint> Last;
+  if (const auto Own = OwnAnswered.find(Feature); Own != OwnAnswered.end())
+    Last = Own->second;
+  const auto Found = EvidenceByFeature.find(Feature);
+  if (Found != EvidenceByFeature.end() &&
+      Found->second.AnsweredAt != TimePoint{})
+    Last = std::max(Last.value_or(TimePoint{}), Found->second.AnsweredAt);
+  return Last;
+}
+
+bool CrashAttribution::isUnansweredSuspect(
+    const RequestFeature &Feature) const {
+  const auto Found = EvidenceByFeature.find(Feature);
+  return Found != EvidenceByFeature.end() && !Found->second.Crashes.empty() &&
+         !lastAnswered(Feature);
 }
 
 bool CrashAttribution::isCrash(UpstreamProcess Process, TimePoint At,
@@ -117,12 +142,16 @@
              : Episodes;
 }
 
-double CrashAttribution::backgroundRate(const RequestFeature &Feature) const {
-  double Runs = PriorRuns;
-  double BrokenOff = PriorBrokenOff;
+double
+CrashAttribution::backgroundRate(const RequestFeature &Feature,
+                                 std::optional<TimePoint> AnsweredAt) const {
+  double Runs = AnsweredAt ? AnsweredPriorRuns : PriorRuns;
+  double BrokenOff = AnsweredAt ? AnsweredPriorBrokenOff : PriorBrokenOff;
   for (const RunEnd &Run : RunEnds) {
+    const bool MayBeHarmful = (!AnsweredAt || Run.At > *AnsweredAt) &&
+                              contains(Run.Features, Feature);
     const bool Excluded =
-        contains(Run.Features, Feature) ||
+        MayBeHarmful ||
         std::any_of(Run.Features.begin(), Run.Features.end(),
                     [this](const auto &Each) { return isQuarantined(Each); });
     if (Excluded)
@@ -130,7 +159,9 @@
     ++Runs;
     BrokenOff += Run.BrokenOff ? 1 : 0;
   }
-  return BrokenOff / Runs;
+  // A harmless feature is answered now and then, however many runs break off.
+  const double Rate = BrokenOff / Runs;
+  return AnsweredAt ? std::min(MaxBackgroundRate, Rate) : Rate;
 }
 
 std::vector<CrashAttribution::Candidate> CrashAttribution::candidates() const {
@@ -150,7 +181,7 @@
                                     [&Feature = Feature](const RunEnd &Run) {
                                       return contains(Run.Features, Feature);
                                     });
-    List.push_back({Feature, OwnAnswered.contains(Feature), Crashes,
+    List.push_back({Feature, lastAnswered(Feature).has_value(), Crashes,
                     static_cast<std::size_t>(Runs)});
   }
   // A feature that was never answered is a likelier cause than one that was,
@@ -168,16 +199,21 @@
                                 double &Background) const {
   const std::vector<TimePoint> Times = unexplainedCrashes(Feature, Known);
   Crashes = countCrashes(Feature, Known, Times);
-  Background = backgroundRate(Feature);
+  const std::optional<TimePoint> AnsweredAt = lastAnswered(Feature);
+  Background = backgroundRate(Feature, AnsweredAt);
   if (Crashes == 0)
     return false;
   const auto Current = Quarantines.find(Feature);
   if (Current != Quarantines.end() && Current->second.Status.lapsed())
     return true;
+  if (AnsweredAt)
+    return Crashes >=
+           crashesNeeded(Background, FalseQuarantineRate * TurnsHarmfulRate);
   // Harmless requests that were never answered are not repeated so often.
   if (Crashes >= MinCrashes && isUnansweredRequest(Feature))
     return true;
-  if (Background < MaxBackgroundRate && Crashes >= crashesNeeded(Background))
+  if (Background < MaxBackgroundRate &&
+      Crashes >= crashesNeeded(Background, FalseQuarantineRate))
     return true;
   return Crashes >= MinCommonCrashes &&
          static_cast<double>(Crashes) >=
