--- a/include/mallowglade/detail/cli/admin_client.hpp
+++ b/include/mallowglade/detail/cli/admin_client.hpp
@@ -11,18 +11,27 @@
 
 namespace mallowglade::detail {
 
+/// @brief Option for the router that a command calls.
+class RouterOption {
+public:
+  /// @param Parser parser that the option is registered with
+  explicit RouterOption(CommandParser &Parser);
+  /// @return router address from `--router` or MALLOWGLADE_ROUTER
+  std::string router() const;
+
+private:
+  mutable TCLAP::ValueArg<std::string> Router;
+};
+
 /// @brief Options shared by the commands that call the admin API of a router.
-class RouterOptions {
+class RouterOptions : public RouterOption {
 public:
   /// @param Parser parser that the options are registered with
   explicit RouterOptions(CommandParser &Parser);
-  /// @return router address from `--router` or MALLOWGLADE_ROUTER
-  std::string router() const;
   /// @return credential from `--key-file` or MALLOWGLADE_KEY; may be empty
   std::string key() const;
 
 private:
-  mutable TCLAP::ValueArg<std::string> Router;
   mutable TCLAP::ValueArg<std::string> KeyFile;
 };
 
@@ -47,6 +56,11 @@
                                    const RouterOptions &Options,
                                    const std::string &Path,
                                    const AdminQuery &Query = {});
+/// @brief Sends a GET request without a credential.
+/// @param Router address of the router
+Result<AdminResponse> requestWithoutKey(const std::string &Router,
+                                        const std::string &Path,
+                                        const AdminQuery &Query);
 /// @brief Sends a POST request to the router given in the options.
 /// @return the reply; `upstream.connect_failed` if the connection failed,
 ///   `upstream.connection_lost` if the router may have received the request
--- a/include/mallowglade/detail/cli/command.hpp
+++ b/include/mallowglade/detail/cli/command.hpp
@@ -37,6 +37,7 @@
 ExitCode runWorkspaceAdd(std::vector<std::string> Arguments);
 ExitCode runWorkspaceLimit(std::vector<std::string> Arguments);
 ExitCode runStatus(std::vector<std::string> Arguments);
+ExitCode runExplain(std::vector<std::string> Arguments);
 ExitCode runDrain(std::vector<std::string> Arguments);
 ExitCode runQuarantineList(std::vector<std::string> Arguments);
 ExitCode runQuarantineRelease(std::vector<std::string> Arguments);
--- a/include/mallowglade/detail/core/ids.hpp
+++ b/include/mallowglade/detail/core/ids.hpp
@@ -67,6 +67,8 @@
 using RouterId = StringId<struct RouterTag>;
 /// @brief Identifies an availability zone.
 using ZoneId = StringId<struct ZoneTag>;
+/// @brief Identifies a region, which holds availability zones.
+using RegionId = StringId<struct RegionTag>;
 /// @brief Identifies a scheduling cell.
 using CellId = StringId<struct CellTag>;
 
--- a/include/mallowglade/detail/dataplane/configuration.hpp
+++ b/include/mallowglade/detail/dataplane/configuration.hpp
@@ -50,6 +50,8 @@
   /// Maximum number of upstreams that one request may be sent to.
   unsigned MaxAttempts = 1;
   std::vector<ServiceWeight> Services;
+  /// Regions in which requests may be executed; empty for any.
+  std::vector<RegionId> HomeRegions = {};
 };
 
 /// @brief Capacity and features of the model engines of a service.
@@ -72,6 +74,11 @@
   unsigned MaxConnections = 0;
   /// Set if the upstreams are model engines.
   std::optional<EngineProfile> Engine;
+  /// Time for which an upstream that has just started is cold.
+  Milliseconds ColdTime{};
+  /// Requests per second that a cold upstream tolerates from all routers
+  /// together; 0 if it does not matter.
+  double ColdRequestsPerSecond = 0;
 };
 
 /// @brief Limits on callers' requests and the stated capacity of the pool.
@@ -89,6 +96,8 @@
   WorkspaceId Name;
   std::vector<std::string> Keys;
   std::optional<unsigned> Priority;
+  /// Regions in which its requests may be executed; empty for any.
+  std::vector<RegionId> HomeRegions = {};
 };
 
 /// @brief The operator's configuration; immutable after `index`.
--- a/include/mallowglade/detail/dataplane/control.hpp
+++ b/include/mallowglade/detail/dataplane/control.hpp
@@ -7,8 +7,10 @@
 #include <mallowglade/detail/dataplane/restore_guard.hpp>
 #include <mallowglade/detail/dataplane/store_read_policy.hpp>
 #include <mallowglade/detail/dataplane/traffic.hpp>
+#include <mallowglade/detail/dataplane/zone_evacuations.hpp>
 #include <mallowglade/detail/http1/server.hpp>
 #include <mallowglade/detail/telemetry/metrics.hpp>
+#include <mallowglade/scheduling.hpp>
 
 #include <asio/io_context.hpp>
 #include <asio/ip/udp.hpp>
@@ -76,6 +78,11 @@
   ///   when no other one runs.
   void confirmEra(const FleetState &Read);
   void sendReport();
+  /// @return size and load of this router
+  RouterLoad ownLoad();
+  /// @return addresses for a caller, or of all routers that accept callers if
+  ///   these are of the same size
+  std::vector<std::string> addressesFor(const CallerPlace &Place);
   void sendDatagrams(const std::vector<std::string> &Addresses,
                      const std::string &Bytes);
   /// @brief Takes over the first read once other routers were heard.
@@ -102,6 +109,18 @@
   bool acceptConfiguration(ConfigurationVersion KnownConfig,
                            std::shared_ptr<const Configuration> Read);
   void publishState();
+  void updateFingerprint();
+  /// @brief Takes over the evacuated zones of a read.
+  void readEvacuations(const FleetState &Read, TimePoint ReadStart);
+  /// @brief Takes over the evacuated zones of a report.
+  /// @return true if zones were evacuated or taken back
+  bool hearEvacuations(const PeerReport &Report);
+  /// @param Source the store, or the router that reported the change
+  /// @return true if there is a change
+  bool applyEvacuations(const EvacuationChange &Change,
+                        std::string_view Source);
+  /// @brief Removes zones that the deployment does not have, and counts them.
+  void discardUnknownZones(std::set<ZoneId> &Zones, std::string_view Source);
   /// @brief Brings the quarantines in the store up to date, if this router is
   ///   the first one of its zone.
   void storeQuarantines();
@@ -117,6 +136,9 @@
   void onReadiness(const std::shared_ptr<http1::ServerExchange> &Exchange);
   void onAddresses(const std::shared_ptr<http1::ServerExchange> &Exchange);
   void onMetrics(const std::shared_ptr<http1::ServerExchange> &Exchange);
+  /// @brief Answers a request for an explanation once the traffic thread has
+  ///   written it.
+  void onExplain(const std::shared_ptr<http1::ServerExchange> &Exchange);
   /// @brief Runs a task once, a period from now less a random part of it.
   void scheduleNext(asio::steady_timer &Timer, Milliseconds Period,
                     std::function<void()> Task);
@@ -134,6 +156,8 @@
   StoreReadPolicy ReadPolicy;
   RestoreGuard Restorations;
   RestorationProof RestoredConfig;
+  ZoneEvacuations Evacuations;
+  TimePoint NextUnknownZoneLog{};
   http1::Http1Server ReadinessServer;
   std::unique_ptr<http1::Http1Server> AddressesServer;
   http1::Http1Server MetricsServer;
@@ -146,6 +170,14 @@
   asio::steady_timer ReadTimer;
   asio::steady_timer ReceiveTimer;
   Metrics MetricValues;
+  CallerAddresses AddressChoice;
+  LookupCounter Lookups;
+  TokenBucket ExplanationBudget;
+  /// Requests that wait for an explanation, by number; they stay on this
+  /// thread.
+  std::map<std::uint64_t, std::shared_ptr<http1::ServerExchange>>
+      AwaitingExplanation;
+  std::uint64_t Explanations = 0;
   ControlView View;
   TrafficReport OwnReport;
   TrafficCounters OwnCounters;
@@ -170,7 +202,8 @@
   StoreEra RefutedEra;
   /// True while the store holds an older configuration than the fleet.
   bool ConfigBehind = false;
-  /// Hash over the era, the configuration version and the upstreams in `View`.
+  /// Hash over the era, the configuration version, the upstreams and the
+  /// evacuated zones in `View`.
   std::uint64_t Fingerprint = 0;
   TimePoint LastReadStart{};
   /// Earliest time of the next change of quarantines in the store.
--- a/include/mallowglade/detail/dataplane/fleet_state.hpp
+++ b/include/mallowglade/detail/dataplane/fleet_state.hpp
@@ -9,6 +9,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -33,7 +34,11 @@
   /// it did not say. An upstream may start again under the same id.
   std::uint64_t BornMs = 0;
   /// Latest write of this registration.
-  StorePosition WrittenAt;
+  StorePosition WrittenAt{};
+  /// Time for which the upstream stays cold, from `WrittenAt`; 0 if it is warm.
+  Milliseconds ColdRemaining{};
+  /// The registration names a cold time that cannot be read.
+  bool ColdUnreadable = false;
 };
 
 /// @brief Registration of a router.
@@ -59,6 +64,11 @@
   StorePosition ConfigWrittenAt;
   std::vector<UpstreamRecord> Upstreams;
   std::vector<RouterRecord> Routers;
+  /// Position of the store that the read reflects; revision 0 if unknown.
+  StorePosition ReadAt;
+  /// Availability zones that the operator empties: their upstreams get no new
+  /// requests.
+  std::set<ZoneId> EvacuatedZones;
   std::map<RequestFeature, QuarantineEntry> Quarantines;
   /// Number of entries that could not be decoded.
   unsigned SkippedEntries = 0;
--- a/include/mallowglade/detail/dataplane/node_settings.hpp
+++ b/include/mallowglade/detail/dataplane/node_settings.hpp
@@ -1,17 +1,29 @@
 #pragma once
 
 #include <mallowglade/core.hpp>
+#include <mallowglade/detail/dataplane/cold_upstreams.hpp>
 #include <mallowglade/detail/dataplane/placement.hpp>
 #include <mallowglade/detail/dataplane/router_retry_budget.hpp>
 
+#include <map>
+#include <optional>
 #include <string>
 
 namespace mallowglade::dataplane {
 
+/// @brief Processor time that a router may use.
+struct ProcessorLimits {
+  /// Part of each core.
+  double Share = 1;
+  unsigned Cores = 1;
+};
+
 /// @brief Start-up settings of a data-plane router.
 struct NodeSettings {
   std::string Name;
   ZoneId Zone;
+  /// Region of each availability zone; empty if there is only one.
+  std::map<ZoneId, RegionId> ZoneRegions;
   /// Listen address for callers' requests, `ip:port`.
   std::string CallerListen;
   /// Listen address for readiness probes, `ip:port`.
@@ -39,10 +51,19 @@
   Milliseconds UpstreamHeartbeat{1'200};
   /// Time from the start of a graceful shutdown to the end of the process.
   std::chrono::seconds StopGrace{};
+  /// True if answers to lookups name few routers, chosen by size, load and
+  /// zone, instead of all.
+  bool AddressesBySize = false;
   /// Maximum time for which callers may cache router addresses.
   std::chrono::seconds MaxAddressTtl{};
   RetryLimits Retries;
   PlacementSettings PlacementLimits;
+  /// Set if upstreams may be cold.
+  std::optional<ColdUpstreamLimits> ColdUpstreams;
+  /// Time within which an evacuation of a zone has to take effect; set if zones
+  /// may be evacuated.
+  std::optional<Milliseconds> EvacuationTime;
+  ProcessorLimits Processor;
   std::size_t MemoryBytes = 0;
   std::size_t Descriptors = 0;
 };
--- a/include/mallowglade/detail/dataplane/peer_directory.hpp
+++ b/include/mallowglade/detail/dataplane/peer_directory.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <mallowglade/detail/dataplane/caller_addresses.hpp>
 #include <mallowglade/detail/dataplane/fleet_state.hpp>
 #include <mallowglade/detail/dataplane/peer_message.hpp>
 #include <mallowglade/detail/dataplane/restoration_proof.hpp>
@@ -62,6 +63,8 @@
   PeerReport makeDigest(PeerReport Own) const;
   /// @return addresses, for callers, of the other routers to advertise
   std::vector<std::string> callerAddresses() const;
+  /// @return the other routers to advertise
+  std::vector<RouterCandidate> callerRouters() const;
   /// @return sums over the reports of the live routers and the current digests
   PeerSums sums() const;
   /// @return latest sequence number received from each live router of the zone
@@ -91,6 +94,10 @@
   std::size_t liveRouters() const;
 
 private:
+  /// Age at which the digest of a zone expires. The second router of a zone
+  /// sends a digest about once a second, so this covers two of them.
+  static constexpr Milliseconds DigestLifetime{2'500};
+
   struct Peer {
     RouterRecord Record;
     RouterKey Key{};
@@ -100,7 +107,10 @@
     /// another one.
     bool ReadyInDigest = false;
     DemandTable Demand;
+    RouterLoad Load;
     bool Registered = false;
+    /// When the registration was first read; unset while there is none.
+    TimePoint RegisteredAt{};
   };
   struct Digest {
     PeerReport LastReport;
@@ -114,7 +124,13 @@
     return Router.Record.Zone == Self.Zone;
   }
   bool isLive(const Peer &Router) const;
+  static RouterCandidate candidate(const Peer &Router) {
+    return {Router.Record.CallerAddress, Router.Record.Zone, Router.Load};
+  }
   bool isReady(const Peer &Router) const;
+  /// @return true if the router has been silent for so long, while others were
+  ///   heard, that callers must not be sent to it
+  bool isSilent(const Peer &Router) const;
   /// @return number of live and ready routers of this zone whose last report
   ///   satisfies a predicate
   template <class Predicate>
@@ -128,6 +144,10 @@
   const Clock &Time;
   std::map<RouterId, Peer> Peers;
   std::map<ZoneId, Digest> Digests;
+  /// When the latest report came, and since when there was no gap between
+  /// reports in which this router may have been stopped or cut off.
+  TimePoint HeardAt{};
+  TimePoint HearingSince{};
   /// Number of other routers of this zone; kept because `isLive` needs it.
   std::size_t ZonePeers = 0;
 };
--- a/include/mallowglade/detail/dataplane/peer_message.hpp
+++ b/include/mallowglade/detail/dataplane/peer_message.hpp
@@ -1,8 +1,13 @@
 #pragma once
 
+#include <mallowglade/detail/dataplane/cold_upstreams.hpp>
 #include <mallowglade/detail/dataplane/fair_share.hpp>
+#include <mallowglade/detail/dataplane/prefix_holders.hpp>
+#include <mallowglade/detail/dataplane/router_load.hpp>
+#include <mallowglade/detail/dataplane/small_service_placement.hpp>
 #include <mallowglade/detail/dataplane/upstream_limits.hpp>
 #include <mallowglade/detail/dataplane/upstream_table.hpp>
+#include <mallowglade/detail/dataplane/zone_evacuations.hpp>
 #include <mallowglade/outcomes.hpp>
 
 #include <map>
@@ -32,6 +37,7 @@
   std::string CallerAddress;
   bool Ready = false;
   DemandTable Demand = {};
+  RouterLoad Load = {};
 };
 
 /// @brief Periodic report of a router, or digest of a zone.
@@ -70,8 +76,24 @@
   /// Limits that upstreams named; in a digest, the latest statements to routers
   /// of the zone.
   LimitTable Limits;
+  /// Set by routers of a deployment whose zones may be evacuated.
+  std::optional<EvacuationReport> Evacuated;
+  /// What the sender has learned of cold upstreams; in a digest, the latest
+  /// that routers of the zone have learned.
+  ColdTable Cold;
   /// Demand of the sender; empty while no upstream names a limit.
   DemandTable Demand;
+  /// Size and load of the sender. Unknown if the size is 0.
+  RouterLoad Load;
+  /// True if a digest carries the loads of its members; they change slowly, and
+  /// traffic between zones is expensive.
+  bool WithMemberLoads = false;
+  /// Requests a second for services with fewer slots than there are routers; in
+  /// a digest, sums over the zone.
+  OfferedRates Offered;
+  /// Where the sender, or in a digest the routers of its zone, have sent
+  /// prefixes lately.
+  std::vector<PrefixPlacement> Prefixes;
 };
 
 /// @brief Encodes a report as MessagePack: an array of fixed layout and, if any
--- a/include/mallowglade/detail/dataplane/request_run.hpp
+++ b/include/mallowglade/detail/dataplane/request_run.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <mallowglade/detail/dataplane/relay_window.hpp>
 #include <mallowglade/detail/dataplane/response_reader.hpp>
 #include <mallowglade/detail/dataplane/traffic.hpp>
 #include <mallowglade/outcomes.hpp>
@@ -52,6 +53,10 @@
   void releaseLoad();
   /// @brief Records that the upstream broke off the run, unless it is leaving.
   void recordBrokenOff();
+  /// @brief Records an attempt that the upstream took.
+  /// @param Took time to the end of the response; nothing if that was broken
+  ///   off
+  void recordTaken(std::optional<Milliseconds> Took);
   void endAttempt(bool KeepConnection);
   void retryOrFail(AttemptFailure Failure, std::string_view Cause);
   void respondWithError(unsigned Status, std::string_view Cause,
@@ -63,6 +68,9 @@
   void beginRelay();
   /// @brief Passes on what the reader releases of the response's body.
   void relay();
+  /// @brief Stops reading from the upstream until the caller has caught up, or
+  ///   for as long as the upstream may wait.
+  void pauseUpstream();
   /// @brief Records the outcome; later calls have no effect.
   void complete(std::string_view Outcome, unsigned Status);
   http1::HeaderList responseFields(const http1::ResponseHead &Head) const;
@@ -82,6 +90,8 @@
   bool IsProbe = false;
   TimePoint Deadline;
   asio::steady_timer DeadlineTimer;
+  asio::steady_timer PauseTimer;
+  RelayWindow Window;
   AttemptHistory History;
   std::shared_ptr<http1::UpstreamConnection> Connection;
   UpstreamRecord TargetUpstream;
--- a/include/mallowglade/detail/dataplane/upstream_limits.hpp
+++ b/include/mallowglade/detail/dataplane/upstream_limits.hpp
@@ -43,6 +43,16 @@
   DemandTable Demand;
 };
 
+/// @brief Rate that no upstream has named, and that all routers together keep
+///   to.
+struct RateCap {
+  RequestRate Rate;
+  /// Number of routers among which it is divided, whatever their demand.
+  std::size_t Holders = 1;
+  /// What the holders are chosen by; equal for the processes of an upstream.
+  std::uint64_t Resource = 0;
+};
+
 /// @brief How a response changes what is known of a limit.
 enum class LimitChange { None, Begins, Changes, Ends };
 
@@ -52,7 +62,9 @@
 /// A limit is for the whole fleet, so routers tell each other the latest
 /// statement of each process and their own demand, and `rateShare` divides the
 /// limit. A limit belongs to a process: it ends when a response no longer
-/// names it, and with the process.
+/// names it, and with the process. A cap is known by all routers at once and
+/// must hold from that moment, before they know each other's demand; so it is
+/// divided equally, and begins with an empty allowance.
 class UpstreamLimits {
 public:
   /// @param Seed differs between routers and starts of a router
@@ -72,12 +84,15 @@
                              std::optional<RequestRate> Rate, TimePoint SentAt);
   /// @brief Replaces what the other routers report.
   void setPeers(const LimitTable &Limits, std::vector<FleetMember> Members);
+  /// @brief Replaces the rates that hold whatever upstreams name.
+  void setCaps(std::unordered_map<UpstreamProcess, RateCap> Current);
   /// @brief Counts a request that this router would send if it could.
   void recordDemand(ServiceKey Service);
 
   /// @return true if any listed process has a limit
   bool any() const { return !Allowances.empty(); }
-  /// @return limit of a process for the whole fleet, or nothing
+  /// @return rate of a process for the whole fleet, the smaller one of what it
+  ///   named and its cap, or nothing
   std::optional<RequestRate> limitOf(UpstreamProcess Process) const;
   /// @return this router's share of the limit of a process, or nothing
   std::optional<RequestRate> shareOf(UpstreamProcess Process) const;
@@ -95,7 +110,8 @@
   LimitTable report() const;
   /// @return demand of this router, to report; empty while there is no limit
   DemandTable ownDemand() const;
-  std::size_t limitedCount() const { return Allowances.size(); }
+  /// @return number of processes that have named a limit
+  std::size_t limitedCount() const;
 
   /// Time after which the end of a limit is no longer reported.
   static constexpr std::chrono::seconds EndRetention{60};
@@ -115,6 +131,8 @@
     double Longer = 0;
     TimePoint DecayedAt{};
   };
+  /// @return limit that a process named, or nothing
+  std::optional<RequestRate> namedLimit(UpstreamProcess Process) const;
   /// @param Heard true if another router has only heard of the statement
   void record(UpstreamProcess Process, const Statement &Latest,
               bool Heard = false);
@@ -130,6 +148,7 @@
   std::uint64_t Seed;
   std::unordered_map<UpstreamProcess, ServiceKey> Listed;
   std::map<UpstreamProcess, Statement> Statements;
+  std::unordered_map<UpstreamProcess, RateCap> Caps;
   std::unordered_map<UpstreamProcess, RateAllowance> Allowances;
   /// Values that `recordResponse` has told of.
   std::unordered_map<UpstreamProcess, std::pair<RequestRate, TimePoint>> Told;
--- a/include/mallowglade/detail/dataplane/upstream_table.hpp
+++ b/include/mallowglade/detail/dataplane/upstream_table.hpp
@@ -1,7 +1,9 @@
 #pragma once
 
+#include <mallowglade/detail/dataplane/cold_upstreams.hpp>
 #include <mallowglade/detail/dataplane/fleet_state.hpp>
 #include <mallowglade/detail/dataplane/request_features.hpp>
+#include <mallowglade/detail/dataplane/stated_loads.hpp>
 #include <mallowglade/detail/dataplane/upstream_limits.hpp>
 #include <mallowglade/detail/dataplane/upstream_notices.hpp>
 
@@ -53,6 +55,8 @@
   unsigned ConsecutiveFailures = 0;
   /// The upstream has said that it is leaving.
   bool Leaving = false;
+  /// The operator empties the zone of the upstream.
+  bool Evacuated = false;
   /// End of the pause that the upstream asked for.
   TimePoint PausedUntil{};
   /// True from a pause until the upstream accepts a request: one request tries
@@ -62,8 +66,9 @@
   /// connection that was used before, they prove nothing about a request.
   bool RefusesUnidentified = false;
 
-  /// @return true if requests may ever be sent to the upstream again
-  bool staysInUse() const { return Record.Ready && !Leaving; }
+  /// @return true if the upstream is neither leaving nor evacuated: it gets
+  ///   requests now or after a pause
+  bool staysInUse() const { return Record.Ready && !Leaving && !Evacuated; }
 
   /// @return load from requests of all routers
   UpstreamLoad total() const;
@@ -76,12 +81,20 @@
   /// @param Seed differs between routers and starts of a router
   explicit UpstreamTable(const Clock &Time, RouterKey Self = RouterKey(),
                          std::uint64_t Seed = 0)
-      : Time(Time), Notices(Time), Limits(Time, Self, Seed) {}
+      : Time(Time), Notices(Time), Limits(Time, Self, Seed), Stated(Time),
+        Cold(Time) {}
 
   /// @brief Replaces the list of upstreams; the load of those that stay at the
   ///   same address and have not restarted is kept.
   /// @return upstreams that were removed, moved, restarted or are not ready
   std::vector<UpstreamRecord> update(const std::vector<UpstreamRecord> &List);
+  /// @brief Sets the zones that are evacuated; call again after `update`.
+  /// @return upstreams that are evacuated now and were not before
+  std::vector<UpstreamRecord> setEvacuated(const std::set<ZoneId> &Zones);
+  /// @return number of listed upstreams that are evacuated
+  std::size_t countEvacuated() const;
+  /// @return true if the upstream is listed and evacuated
+  bool isEvacuated(const UpstreamId &Id) const;
   /// @brief Replaces the summed loads that the other routers reported.
   void setPeers(const LoadTable &Sum);
   /// @return the upstream, or null if it is not in the list
@@ -119,9 +132,20 @@
   bool takesRequests(const UpstreamRecord &Upstream) const;
   /// @return numbers of listed upstreams that are leaving and that are paused
   std::pair<std::size_t, std::size_t> countNoticed() const;
+  /// @return number of listed upstreams that state that work takes clearly
+  ///   longer than usual
+  std::size_t countSlow() const;
   /// @return limits that upstreams named for all routers together
   UpstreamLimits &limits() { return Limits; }
   const UpstreamLimits &limits() const { return Limits; }
+  /// @return processes that are cold; `applyCold` has to follow a change
+  ColdUpstreams &cold() { return Cold; }
+  const ColdUpstreams &cold() const { return Cold; }
+  /// @brief Puts the rates of cold processes into force.
+  void applyCold() { Limits.setCaps(Cold.rates()); }
+  /// @return loads that upstreams stated in responses to this router
+  StatedLoads &statedLoads() { return Stated; }
+  const StatedLoads &statedLoads() const { return Stated; }
   /// @return loads from requests of this router, to report to the others
   LoadTable ownLoads();
 
@@ -131,6 +155,8 @@
   const Clock &Time;
   UpstreamNotices Notices;
   UpstreamLimits Limits;
+  StatedLoads Stated;
+  ColdUpstreams Cold;
   std::map<UpstreamId, UpstreamState> Upstreams;
   std::unordered_map<ServiceId, std::vector<UpstreamState *>> ByService;
   LoadTable PeerLoads;
--- a/include/mallowglade/detail/dataplane/wire_protocol.hpp
+++ b/include/mallowglade/detail/dataplane/wire_protocol.hpp
@@ -37,6 +37,16 @@
   double ExpectedOutputTokens = 0;
 };
 
+/// @brief Load that an upstream states in a response.
+struct StatedLoad {
+  unsigned Running = 0;
+  unsigned Waiting = 0;
+  unsigned Slots = 0;
+  /// Time that work takes on the upstream's machine now, relative to its usual
+  /// time.
+  double WorkTimeFactor = 1;
+};
+
 /// @brief Metadata from the header fields of an upstream's response.
 struct ResponseMetadata {
   /// The response names the attempt that it belongs to.
@@ -53,9 +63,18 @@
   std::optional<double> RequestsPerSecond;
   /// The limit cannot be read; it neither sets nor ends one.
   bool LimitUnreadable = false;
-  /// Requests that the upstream is executing and has queued.
-  std::optional<unsigned> Running;
-  std::optional<unsigned> Waiting;
+  /// Time for which the upstream stays cold.
+  std::optional<Milliseconds> ColdRemaining;
+  std::optional<StatedLoad> Load;
+  /// The cold time, or a figure of the load, cannot be read.
+  bool ColdUnreadable = false;
+  bool LoadUnreadable = false;
+};
+
+/// @brief Where a caller that looks up router addresses is.
+struct CallerPlace {
+  RegionId Region;
+  ZoneId Zone;
 };
 
 /// @brief Values of the header fields that the router adds to a forwarded
@@ -96,6 +115,9 @@
   virtual bool isReadinessRequest(std::string_view Target) const = 0;
   /// @return true if the request target is the lookup of router addresses
   virtual bool isAddressLookup(std::string_view Target) const = 0;
+  /// @brief Reads where the caller of a lookup of router addresses is; what it
+  ///   does not state is empty.
+  virtual CallerPlace readCallerPlace(std::string_view Target) const = 0;
   /// @brief Renders the response body of a lookup of router addresses.
   /// @param TimeToLive how long the caller may use the addresses
   virtual std::string
--- a/include/mallowglade/detail/http1/server.hpp
+++ b/include/mallowglade/detail/http1/server.hpp
@@ -2,6 +2,7 @@
 
 #include <mallowglade/detail/http1/message_parser.hpp>
 #include <mallowglade/detail/http1/server_exchange.hpp>
+#include <mallowglade/detail/http1/unsent_budget.hpp>
 
 #include <asio/ip/tcp.hpp>
 #include <asio/steady_timer.hpp>
@@ -30,6 +31,9 @@
   std::size_t SoftMaxConnections = 0;
   /// Maximum total size of the request bodies buffered by all connections.
   std::size_t MaxBufferedBytes = 0;
+  /// Maximum total size of the output that clients have not taken; above it,
+  /// those with the most are disconnected. 0: no bound.
+  std::size_t MaxUnsentBytes = 0;
 };
 
 /// @brief Event counters of a server.
@@ -38,6 +42,8 @@
   std::uint64_t RefusedConnections = 0;
   std::uint64_t MalformedRequests = 0;
   std::uint64_t ClientDisconnects = 0;
+  /// Clients disconnected because of `MaxUnsentBytes`.
+  std::uint64_t SlowClients = 0;
 };
 
 /// @brief Called with each complete request.
@@ -87,6 +93,8 @@
   void write(std::string_view Data);
   void flush();
   void onWritten(std::error_code Error, std::size_t Size);
+  /// @brief Tells the server how much output the client has not taken.
+  void recordUnsent();
   void startTimer(std::chrono::milliseconds Delay);
   void onTimer();
   void releaseBody();
@@ -119,6 +127,8 @@
   bool InputEnded = false;
   bool DiscardingInput = false;
   bool ResetsOnClose = false;
+  /// True while the server counts output of this connection.
+  bool CountedUnsent = false;
 };
 
 /// @brief HTTP/1 server that passes each complete request to a handler.
@@ -158,6 +168,8 @@
   ///   or a response is not yet sent in full
   std::size_t busyConnections() const;
   const ServerCounters &counters() const { return Counters; }
+  /// @return bytes of output that clients have not taken
+  std::size_t unsentBytes() const { return Unsent.total(); }
 
 private:
   friend class ServerConnection;
@@ -167,6 +179,8 @@
     return OpenConnections.size() > Limits.SoftMaxConnections;
   }
   void closeOldestIdle();
+  /// @brief Disconnects clients until the rest is within `MaxUnsentBytes`.
+  void endSlowClients();
 
   asio::io_context &Context;
   asio::ip::tcp::endpoint Address;
@@ -179,6 +193,7 @@
   /// Connections without a request, ordered by the start of their idle time.
   std::list<ServerConnection *> IdleConnections;
   std::size_t BufferedBytes = 0;
+  UnsentBudget<ServerConnection> Unsent;
   /// True while a wait for connections is outstanding.
   bool AcceptPending = false;
   bool Draining = false;
--- a/include/mallowglade/detail/scheduling/rate_share.hpp
+++ b/include/mallowglade/detail/scheduling/rate_share.hpp
@@ -42,6 +42,11 @@
 RequestRate rateShare(std::uint64_t Resource, RequestRate Rate,
                       const std::vector<RateMember> &Members, RouterKey Self);
 
+/// @brief Divides a rate among a given number of routers.
+RequestRate rateShare(std::uint64_t Resource, RequestRate Rate,
+                      const std::vector<RateMember> &Members, RouterKey Self,
+                      std::size_t MaxHolders);
+
 /// @brief Allowance of one router that fills at its share of a rate.
 class RateAllowance {
 public:
--- a/src/cli/admin_client.cpp
+++ b/src/cli/admin_client.cpp
@@ -29,13 +29,11 @@
   return Text;
 }
 
-httplib::Client makeClient(const RouterOptions &Options,
-                           const std::string &Router) {
+httplib::Client makeClient(const std::string &Router, const std::string &Key) {
   const HostPort Address = splitAddress(Router);
   httplib::Client Client(Address.Host, Address.Port);
   Client.set_connection_timeout(ConnectTimeout);
   Client.set_read_timeout(ReplyTimeout);
-  const std::string Key = Options.key();
   if (!Key.empty())
     Client.set_bearer_token_auth(Key);
   return Client;
@@ -55,6 +53,14 @@
       Router};
 }
 
+Result<AdminResponse> getFrom(httplib::Client Client, const std::string &Router,
+                              const std::string &Path,
+                              const AdminQuery &Query) {
+  const httplib::Params Parameters(Query.begin(), Query.end());
+  return toAdminResponse(Client.Get(Path, Parameters, httplib::Headers()),
+                         Router);
+}
+
 std::string stringMember(const json &Document, const char *Key) {
   const bool IsString = Document.is_object() && Document.contains(Key) &&
                         Document[Key].is_string();
@@ -71,15 +77,18 @@
 
 } // namespace
 
-RouterOptions::RouterOptions(CommandParser &Parser)
+RouterOption::RouterOption(CommandParser &Parser)
     : Router("r", "router",
              "address of any router, ip:port; default MALLOWGLADE_ROUTER",
-             false, "", "ADDRESS", Parser.commandLine()),
+             false, "", "ADDRESS", Parser.commandLine()) {}
+
+RouterOptions::RouterOptions(CommandParser &Parser)
+    : RouterOption(Parser),
       KeyFile("k", "key-file",
               "file with the operator's credential; default MALLOWGLADE_KEY",
               false, "", "FILE", Parser.commandLine()) {}
 
-std::string RouterOptions::router() const {
+std::string RouterOption::router() const {
   std::string Address = Router.isSet()
                             ? Router.getValue()
                             : environmentVariable("MALLOWGLADE_ROUTER");
@@ -111,16 +120,19 @@
                                    const RouterOptions &Options,
                                    const std::string &Path,
                                    const AdminQuery &Query) {
-  httplib::Client Client = makeClient(Options, Router);
-  const httplib::Params Parameters(Query.begin(), Query.end());
-  return toAdminResponse(Client.Get(Path, Parameters, httplib::Headers()),
-                         Router);
+  return getFrom(makeClient(Router, Options.key()), Router, Path, Query);
+}
+
+Result<AdminResponse> requestWithoutKey(const std::string &Router,
+                                        const std::string &Path,
+                                        const AdminQuery &Query) {
+  return getFrom(makeClient(Router, {}), Router, Path, Query);
 }
 
 Result<AdminResponse> adminPost(const RouterOptions &Options,
                                 const std::string &Path, const json &Body) {
   const std::string Router = Options.router();
-  httplib::Client Client = makeClient(Options, Router);
+  httplib::Client Client = makeClient(Router, Options.key());
   return toAdminResponse(Client.Post(Path, Body.dump(), "application/json"),
                          Router);
 }
--- a/src/cli/commands.cpp
+++ b/src/cli/commands.cpp
@@ -55,6 +55,13 @@
        {"mallowglade status --router 10.0.0.5:8080",
         "mallowglade status --json"},
        runStatus},
+      {"explain",
+       "Shows where a request would go now and why, without sending it.",
+       {"mallowglade explain --router 10.0.0.5:7006 --host api.example "
+        "--path /chat/x --workspace desk",
+        "mallowglade explain --router 10.0.0.5:7006 --host api.example "
+        "--path /chat/x --prompt 4200 --parts 8f14e45f:4000,1a2b:200 --json"},
+       runExplain},
       {"drain",
        "Stops a router without interrupting requests.",
        {"mallowglade drain --router 10.0.0.5:8080"},
--- a/src/dataplane/admission.cpp
+++ b/src/dataplane/admission.cpp
@@ -22,9 +22,40 @@
 /// Wait that is told to a caller while this router has no share of the limited
 /// upstreams; the routers divide limits anew meanwhile.
 constexpr Milliseconds WaitWithoutShare{2'000};
+/// Wait that is told to a caller while the operator keeps it from all upstreams
+/// of a service; a change of that takes seconds to reach the routers.
+constexpr Milliseconds EvacuationWait{1'000};
 /// Longest wait for limited upstreams that is told to a caller.
 constexpr Milliseconds MaxLimitWait{30'000};
 
+AdmissionDecision refusal(Refusal Reason) {
+  AdmissionDecision Decision;
+  Decision.What = AdmissionDecision::Action::Refuse;
+  Decision.Reason = Reason;
+  return Decision;
+}
+
+AdmissionDecision refusalWithoutUpstream(Placement::Unavailable Cause) {
+  AdmissionDecision Decision = refusal(Refusal::NoUpstream);
+  Decision.NoneMayTake = true;
+  if (Cause == Placement::Unavailable::NoneReady)
+    return Decision;
+  Decision.Reason = Cause == Placement::Unavailable::Evacuated
+                        ? Refusal::ZonesEvacuated
+                        : Refusal::NoHomeUpstream;
+  Decision.AddedDelay = EvacuationWait;
+  return Decision;
+}
+
+/// @param Wait time until a share of the limited upstreams is free
+AdmissionDecision refusalByLimits(std::chrono::duration<double> Wait) {
+  AdmissionDecision Decision = refusal(Refusal::UpstreamsLimited);
+  const auto Longest = std::chrono::duration<double>(MaxLimitWait);
+  Decision.LeastDelay =
+      std::chrono::ceil<Milliseconds>(std::min(Wait, Longest));
+  return Decision;
+}
+
 } // namespace
 
 std::string_view toString(Refusal Reason) {
@@ -35,10 +66,16 @@
     return "no_room";
   case Refusal::NoUpstream:
     return "no_upstream";
+  case Refusal::ZonesEvacuated:
+    return "zones_evacuated";
+  case Refusal::NoHomeUpstream:
+    return "no_home_upstream";
   case Refusal::UpstreamsPaused:
     return "upstreams_paused";
   case Refusal::UpstreamsLimited:
     return "upstreams_limited";
+  case Refusal::SlotsTaken:
+    return "slots_taken";
   case Refusal::QueueFull:
     return "queue_full";
   case Refusal::CredentialsNotFresh:
@@ -57,90 +94,141 @@
                      RandomSource &Random)
     : Placer(Placer), Shares(Shares), Time(Time), Random(Random) {}
 
-Milliseconds Admission::retryAfter(const QueuedRequest &Request) {
+std::string_view toString(AdmissionDecision::WaitCause Cause) {
+  switch (Cause) {
+  case AdmissionDecision::WaitCause::OthersWait:
+    return "others_wait";
+  case AdmissionDecision::WaitCause::NoCapacity:
+    return "no_capacity";
+  case AdmissionDecision::WaitCause::ReservedForLeastServed:
+    return "reserved_for_least_served";
+  }
+  return "no_capacity";
+}
+
+Milliseconds Admission::retryAfter(const QueuedRequest &Request,
+                                   const AdmissionDecision &Decision,
+                                   RandomSource &Drawing) {
+  if (Decision.Reason == Refusal::Stopping)
+    return RetryAfterWhileStopping;
   const auto ObjectiveMs =
       static_cast<double>(Request.Query.LatencyObjective.count());
   const auto JitterMs =
       static_cast<std::uint64_t>(RetryJitterFraction * ObjectiveMs) + 1;
-  return Milliseconds(
+  const Milliseconds Usual(
       static_cast<std::int64_t>(MinRetryAfterFraction * ObjectiveMs +
-                                static_cast<double>(Random.below(JitterMs))));
+                                static_cast<double>(Drawing.below(JitterMs))));
+  return std::max(Decision.LeastDelay, Decision.AddedDelay + Usual);
 }
 
-void Admission::submit(std::shared_ptr<QueuedRequest> Request) {
-  if (Stopped) {
-    Request->refuse(Refusal::Stopping, RetryAfterWhileStopping);
-    return;
+void Admission::refuse(QueuedRequest &Request,
+                       const AdmissionDecision &Decision) {
+  Request.refuse(Decision.Reason, retryAfter(Request, Decision, Random));
+}
+
+AdmissionDecision Admission::decideOverShare(const QueuedRequest &Request,
+                                             Placement &Choosing) {
+  const PlacementChoice Choice = Choosing.choose(Request.Query);
+  if (Choice.Upstream != nullptr &&
+      Choosing.hasSpareCapacity(*Choice.Upstream) &&
+      (Choosing.isIdle(*Choice.Upstream) ||
+       Shares.mayExceedShare(Request.ShareKey))) {
+    AdmissionDecision Decision;
+    Decision.What = AdmissionDecision::Action::Send;
+    Decision.Choice = Choice;
+    return Decision;
   }
-  const bool OverShare = Request->HasWorkspace && !Request->PreviouslySent &&
-                         !Shares.withinShare(Request->ShareKey);
-  if (!OverShare)
-    Placer.recordDemand(Request->Query.Service);
-  const bool Limited =
-      Placer.availability(Request->Query.Service).Rate.has_value();
-  if (refuseUnservable(*Request, Limited ? countAhead(*Request) : 0))
-    return;
-  if (OverShare) {
-    const PlacementChoice Choice = Placer.choose(Request->Query);
-    if (Choice.Upstream != nullptr &&
-        Placer.hasSpareCapacity(*Choice.Upstream) &&
-        (Placer.isIdle(*Choice.Upstream) ||
-         Shares.mayExceedShare(Request->ShareKey))) {
-      Placer.recordDemand(Request->Query.Service);
-      Placer.recordSize(Request->ShareTokens);
-      Shares.recordAdmitted(Request->ShareKey, Request->ShareTokens);
-      Request->place(Choice);
-      return;
+  return refusal(Refusal::ShareUsedUp);
+}
+
+AdmissionDecision Admission::decide(const QueuedRequest &Request,
+                                    Placement &Choosing,
+                                    RandomSource &Drawing) {
+  if (Stopped)
+    return refusal(Refusal::Stopping);
+  const bool OverShare = Request.HasWorkspace && !Request.PreviouslySent &&
+                         !Shares.admitsFromShare(Request.ShareKey, Drawing);
+  const auto Decide = [&] {
+    const auto Available = Choosing.availability(Request.Query);
+    if (const auto Unservable = findUnservable(
+            Request, Available.Rate ? countAhead(Request) : 0, Choosing))
+      return *Unservable;
+    if (!Request.PreviouslySent && !Choosing.admits(Request.Query))
+      return refusal(Refusal::SlotsTaken);
+    if (OverShare)
+      return decideOverShare(Request, Choosing);
+    AdmissionDecision Decision;
+    if (Queue.empty())
+      Decision = findRoom(Request, Choosing);
+    if (Decision.What == AdmissionDecision::Action::Wait &&
+        Queue.size() >= MaxQueuedRequests) {
+      Decision.Displaced = findMoreServed(Request);
+      if (Decision.Displaced == nullptr)
+        return refusal(Refusal::QueueFull);
     }
-    Request->refuse(Refusal::ShareUsedUp, retryAfter(*Request));
+    return Decision;
+  };
+  AdmissionDecision Decision = Decide();
+  Decision.OverShare = OverShare;
+  return Decision;
+}
+
+void Admission::submit(std::shared_ptr<QueuedRequest> Request) {
+  if (!Stopped)
+    Placer.recordPrefixUse(Request->Query);
+  const AdmissionDecision Decision = decide(*Request, Placer, Random);
+  const bool Sent = Decision.What == AdmissionDecision::Action::Send;
+  const bool Stops = Decision.What == AdmissionDecision::Action::Refuse &&
+                     Decision.Reason == Refusal::Stopping;
+  if (!Stops && (Sent || !Decision.OverShare))
+    Placer.recordDemand(Request->Query.Service);
+  if (Sent) {
+    send(*Request, Decision.Choice);
     return;
   }
-  if (Queue.empty() && tryPlace(*Request))
-    return;
-  if (Queue.size() >= MaxQueuedRequests && !displaceMoreServed(*Request)) {
-    Request->refuse(Refusal::QueueFull, retryAfter(*Request));
+  // Others who wait would not help a request that no upstream may take.
+  if (!Stops && !Decision.NoneMayTake)
+    recordUnmet(*Request, 1);
+  if (Decision.What == AdmissionDecision::Action::Refuse) {
+    refuse(*Request, Decision);
     return;
   }
+  if (Decision.Displaced != nullptr) {
+    Queue.remove(Decision.Displaced);
+    refuse(*Decision.Displaced, refusal(Refusal::QueueFull));
+  }
   Queue.push_back(std::move(Request));
   dispatch();
 }
 
-Milliseconds Admission::limitRetryAfter(const QueuedRequest &Request,
-                                        std::chrono::duration<double> Wait) {
-  const auto Longest = std::chrono::duration<double>(MaxLimitWait);
-  return std::max(std::chrono::ceil<Milliseconds>(std::min(Wait, Longest)),
-                  retryAfter(Request));
-}
-
-bool Admission::refuseUnservable(QueuedRequest &Request, std::size_t Ahead) {
-  const auto Available = Placer.availability(Request.Query.Service);
-  if (!Available.From) {
-    Request.refuse(Refusal::NoUpstream, retryAfter(Request));
-    return true;
-  }
+std::optional<AdmissionDecision>
+Admission::findUnservable(const QueuedRequest &Request, std::size_t Ahead,
+                          const Placement &Choosing) const {
+  const auto Available = Choosing.availability(Request.Query);
+  if (!Available.From)
+    return refusalWithoutUpstream(Available.Missing);
   const TimePoint Now = Time.now();
   // None is limited by a rate: they take requests, or all of them pause.
   if (!Available.Rate || Available.Rate->Value <= 0) {
-    if (*Available.From <= Request.QueueDeadline)
-      return false;
-    if (*Available.From != TimePoint::max()) {
-      const auto Pause = std::chrono::ceil<Milliseconds>(*Available.From - Now);
-      Request.refuse(Refusal::UpstreamsPaused, Pause + retryAfter(Request));
-      return true;
-    }
-    Request.refuse(Refusal::UpstreamsLimited,
-                   limitRetryAfter(Request, WaitWithoutShare));
-    return true;
+    if (*Available.From <= std::max(Now, Request.QueueDeadline))
+      return std::nullopt;
+    if (*Available.From == TimePoint::max())
+      return refusalByLimits(WaitWithoutShare);
+    AdmissionDecision Decision = refusal(Refusal::UpstreamsPaused);
+    Decision.AddedDelay =
+        std::chrono::ceil<Milliseconds>(*Available.From - Now);
+    return Decision;
   }
   const std::chrono::duration<double> Wait =
       std::max<std::chrono::duration<double>>(
           *Available.From - Now, std::chrono::duration<double>::zero()) +
       std::chrono::duration<double>(static_cast<double>(Ahead) /
                                     Available.Rate->Value);
-  if (Wait <= Request.QueueDeadline - Now)
-    return false;
-  Request.refuse(Refusal::UpstreamsLimited, limitRetryAfter(Request, Wait));
-  return true;
+  // Past its queue time, a request is refused by the expiry.
+  if (Wait <=
+      std::max(Request.QueueDeadline - Now, TimePoint::duration::zero()))
+    return std::nullopt;
+  return refusalByLimits(Wait);
 }
 
 std::size_t Admission::countAhead(const QueuedRequest &Request) {
@@ -161,41 +249,60 @@
              : 0;
 }
 
-bool Admission::displaceMoreServed(const QueuedRequest &Request) {
+void Admission::recordUnmet(const QueuedRequest &Request, double Requests) {
+  if (Request.HasWorkspace && !Request.PreviouslySent)
+    Shares.recordUnmet(Request.ShareKey, Requests * Request.ShareTokens);
+}
+
+std::shared_ptr<QueuedRequest>
+Admission::findMoreServed(const QueuedRequest &Request) {
   double HighestFill = shareFill(Request);
-  auto Displaced = Queue.rend();
+  std::shared_ptr<QueuedRequest> Found;
   for (auto It = Queue.rbegin(); It != Queue.rend(); ++It) {
     const double Fill = shareFill(**It);
     if (Fill > HighestFill) {
       HighestFill = Fill;
-      Displaced = It;
+      Found = *It;
     }
   }
-  if (Displaced == Queue.rend())
-    return false;
-  const std::shared_ptr<QueuedRequest> Refused = *Displaced;
-  Queue.erase(std::prev(Displaced.base()));
-  Refused->refuse(Refusal::QueueFull, retryAfter(*Refused));
-  return true;
+  return Found;
 }
 
-bool Admission::tryPlace(QueuedRequest &Request) {
-  const PlacementChoice Choice = Placer.choose(Request.Query);
+AdmissionDecision Admission::findRoom(const QueuedRequest &Request,
+                                      Placement &Choosing) {
+  AdmissionDecision Decision;
+  Decision.Cause = AdmissionDecision::WaitCause::NoCapacity;
+  const PlacementChoice Choice = Choosing.choose(Request.Query);
   if (Choice.Upstream == nullptr)
-    return false;
+    return Decision;
   // Without spare capacity, the rest is reserved for the least served
   // workspaces: their requests may be queued in another router while none is
   // here.
   const bool ReservedForLeastServed =
       Request.HasWorkspace && !Request.PreviouslySent &&
-      !Placer.hasSpareCapacity(*Choice.Upstream);
-  if (ReservedForLeastServed && !Shares.mayExceedShare(Request.ShareKey))
-    return false;
+      !Choosing.hasSpareCapacity(*Choice.Upstream);
+  if (ReservedForLeastServed && !Shares.mayExceedShare(Request.ShareKey)) {
+    Decision.Cause = AdmissionDecision::WaitCause::ReservedForLeastServed;
+    return Decision;
+  }
+  Decision.What = AdmissionDecision::Action::Send;
+  Decision.Choice = Choice;
+  return Decision;
+}
+
+void Admission::send(QueuedRequest &Request, const PlacementChoice &Choice) {
   if (Request.HasWorkspace && !Request.PreviouslySent) {
     Placer.recordSize(Request.ShareTokens);
     Shares.recordAdmitted(Request.ShareKey, Request.ShareTokens);
   }
   Request.place(Choice);
+}
+
+bool Admission::tryPlace(QueuedRequest &Request) {
+  const AdmissionDecision Decision = findRoom(Request, Placer);
+  if (Decision.What != AdmissionDecision::Action::Send)
+    return false;
+  send(Request, Decision.Choice);
   return true;
 }
 
@@ -236,7 +343,14 @@
       continue;
     const auto Position = Queue.erase(It);
     std::size_t &Ahead = Waiting[Ranked.Request->Query.Service];
-    if (refuseUnservable(*Ranked.Request, Ahead) || tryPlace(*Ranked.Request)) {
+    if (const auto Unservable =
+            findUnservable(*Ranked.Request, Ahead, Placer)) {
+      refuse(*Ranked.Request, *Unservable);
+      Failures = 0;
+      continue;
+    }
+    if (tryPlace(*Ranked.Request)) {
+      recordUnmet(*Ranked.Request, -1);
       Failures = 0;
       continue;
     }
@@ -264,7 +378,7 @@
     It = Queue.erase(It);
   }
   for (const auto &Queued : Expired)
-    Queued->refuse(Refusal::NoRoom, retryAfter(*Queued));
+    refuse(*Queued, refusal(Refusal::NoRoom));
 }
 
 void Admission::stop() {
--- a/src/dataplane/event_log.cpp
+++ b/src/dataplane/event_log.cpp
@@ -16,6 +16,10 @@
 constexpr std::size_t MaxBufferedBytes = 262'144;
 /// Largest burst, as the number of seconds of the sustained rate.
 constexpr double BurstSeconds = 4;
+/// Reserve for changes of state: seconds of the sustained rate, and bytes of
+/// the buffer.
+constexpr double ReservedSeconds = 1;
+constexpr std::size_t ReservedBufferBytes = MaxBufferedBytes / 4;
 
 void appendValue(std::string &Out, const EventField &Field) {
   if (const auto *Text = std::get_if<std::string_view>(&Field.Value)) {
@@ -46,6 +50,17 @@
 
 void EventLog::write(std::string_view Event,
                      std::initializer_list<EventField> Fields) {
+  append(Event, Fields, 0, 0);
+}
+
+void EventLog::writeForRequest(std::string_view Event,
+                               std::initializer_list<EventField> Fields) {
+  append(Event, Fields, LinesPerSecond * ReservedSeconds, ReservedBufferBytes);
+}
+
+void EventLog::append(std::string_view Event,
+                      std::initializer_list<EventField> Fields,
+                      double ReservedLines, std::size_t ReservedBytes) {
   const std::lock_guard<std::mutex> Lock(Mutex);
   const TimePoint Now = Time.now();
   AvailableLines =
@@ -54,7 +69,8 @@
                    LinesPerSecond *
                        std::chrono::duration<double>(Now - RefilledAt).count());
   RefilledAt = Now;
-  if (AvailableLines < 1 || Buffer.size() > MaxBufferedBytes) {
+  if (AvailableLines < 1 + ReservedLines ||
+      Buffer.size() + ReservedBytes > MaxBufferedBytes) {
     ++Dropped;
     return;
   }
--- a/src/dataplane/fair_share.cpp
+++ b/src/dataplane/fair_share.cpp
@@ -7,9 +7,9 @@
 
 namespace {
 
-/// A workspace was refused work if its demand exceeds its admitted tokens by
-/// this factor.
-constexpr double RefusedDemandFactor = 1.1;
+/// Fraction of its admitted tokens that the unmet ones of a workspace exceed if
+/// it counts as backlogged.
+constexpr double UnmetFraction = 0.1;
 /// Fraction of the share that a workspace has to demand to count as backlogged;
 /// a single request in flight is no backlog.
 constexpr double BacklogFraction = 0.25;
@@ -56,7 +56,12 @@
       continue;
     Sum.Demand += Usage.Buckets[Index].Demand;
     Sum.Admitted += Usage.Buckets[Index].Admitted;
+    if (Usage.Ticks[Index] + BacklogBuckets > Now)
+      Sum.Unmet += Usage.Buckets[Index].Unmet;
   }
+  // What waited in a bucket that has left the window may be taken back in one
+  // that has not.
+  Sum.Unmet = std::max(0.0, Sum.Unmet);
   return Sum;
 }
 
@@ -68,6 +73,10 @@
   currentBucket(Key).Admitted += Tokens;
 }
 
+void FairShare::recordUnmet(WorkspaceKey Key, double Tokens) {
+  currentBucket(Key).Unmet += Tokens;
+}
+
 UsageTable FairShare::ownUsage() {
   UsageTable Table;
   for (auto It = OwnHistory.begin(); It != OwnHistory.end();) {
@@ -91,6 +100,7 @@
   for (const auto &[Key, Usage] : PeerUsage) {
     FleetUsage[Key].Demand += Usage.Demand;
     FleetUsage[Key].Admitted += Usage.Admitted;
+    FleetUsage[Key].Unmet += Usage.Unmet;
   }
   std::vector<double> Demands;
   Demands.reserve(FleetUsage.size());
@@ -106,7 +116,8 @@
   Level = maxMinLevel(std::move(Demands), Capacity);
   LeastFill = std::numeric_limits<double>::infinity();
   for (const auto &[Key, Usage] : FleetUsage)
-    if (Usage.Demand > RefusedDemandFactor * Usage.Admitted &&
+    if (Usage.Unmet * (Window / BacklogWindow) >
+            UnmetFraction * Usage.Admitted &&
         Usage.Demand > BacklogFraction * Level)
       LeastFill = std::min(LeastFill, Usage.Admitted / Level);
 }
@@ -115,18 +126,41 @@
   return Level <= 0 || shareFill(Key) <= LeastFill * ExcessFactor;
 }
 
+WorkspaceUsage FairShare::fleetUsage(WorkspaceKey Key) const {
+  WorkspaceUsage Sum;
+  if (const auto Own = OwnHistory.find(Key); Own != OwnHistory.end())
+    Sum = windowTotal(Own->second);
+  if (const auto Peers = PeerUsage.find(Key); Peers != PeerUsage.end()) {
+    Sum.Demand += Peers->second.Demand;
+    Sum.Admitted += Peers->second.Admitted;
+    Sum.Unmet += Peers->second.Unmet;
+  }
+  return Sum;
+}
+
 double FairShare::shareFill(WorkspaceKey Key) {
-  if (Level <= 0)
-    return 0;
-  const auto OwnEntry = OwnHistory.find(Key);
-  double Admitted =
-      OwnEntry == OwnHistory.end() ? 0 : windowTotal(OwnEntry->second).Admitted;
-  const auto PeerEntry = PeerUsage.find(Key);
-  if (PeerEntry != PeerUsage.end())
-    Admitted += PeerEntry->second.Admitted;
-  return Admitted / Level;
+  return Level <= 0 ? 0 : fleetUsage(Key).Admitted / Level;
 }
 
 bool FairShare::withinShare(WorkspaceKey Key) { return shareFill(Key) < 1; }
 
+bool FairShare::admitsFromShare(WorkspaceKey Key, RandomSource &Random) {
+  if (!withinShare(Key))
+    return false;
+  if (!CapacityReduced || Level <= 0)
+    return true;
+  const WorkspaceUsage Usage = fleetUsage(Key);
+  // It asks for no more than its share.
+  if (Usage.Demand <= Level)
+    return true;
+  const double Rest = Level - Usage.Admitted;
+  const double Expected =
+      Usage.Demand * (std::chrono::duration<double>(ReportDelay) /
+                      std::chrono::duration<double>(Window));
+  constexpr std::uint64_t Resolution = 1'000;
+  return Expected <= Rest ||
+         static_cast<double>(Random.below(Resolution)) * Expected <
+             Rest * static_cast<double>(Resolution);
+}
+
 } // namespace mallowglade::dataplane
--- a/src/dataplane/node_settings.cpp
+++ b/src/dataplane/node_settings.cpp
@@ -14,6 +14,8 @@
 constexpr std::int64_t MaxMilliseconds = 3'600'000;
 constexpr std::int64_t MaxSeconds = 86'400;
 constexpr std::int64_t MaxPort = 65'535;
+constexpr std::int64_t MaxCores = 1 << 10;
+constexpr double MinProcessorShare = 0.001;
 constexpr double MaxRatio = 10;
 constexpr double MaxSlack = 1e6;
 /// Time for the operator to write again after a restoration of the store, as a
@@ -56,6 +58,7 @@
   constexpr double MinShare = 0.05;
   constexpr double MaxShare = 5;
   constexpr std::int64_t MaxRanks = 64;
+  constexpr double MaxZoneCostMs = 10'000;
   const PlacementSettings Defaults;
   PlacementSettings &PlacementLimits = Settings.PlacementLimits;
   PlacementLimits.WorkShare =
@@ -70,6 +73,11 @@
       "prompt_window", MinShare, MaxShare, Defaults.PromptWindow);
   PlacementLimits.AffinityRanks = static_cast<unsigned>(
       Placement.integer("affinity_ranks", 1, MaxRanks, Defaults.AffinityRanks));
+  if (Placement.has("zone_cost_ms"))
+    PlacementLimits.ZoneCost =
+        PreciseMilliseconds(Placement.number("zone_cost_ms", 0, MaxZoneCostMs));
+  PlacementLimits.PrefixReuse = Milliseconds(Placement.integer(
+      "prefix_reuse_ms", 1, MaxMilliseconds, Defaults.PrefixReuse.count()));
   Placement.finish();
 }
 
@@ -78,9 +86,30 @@
       Limits.integer("memory_mb", 1, MaxMegabytes) * BytesPerMegabyte);
   Settings.Descriptors = static_cast<std::size_t>(
       Limits.integer("descriptors", 1, MaxDescriptors));
+  Settings.Processor.Share =
+      Limits.number("cpu_share", MinProcessorShare, 1, 1);
+  Settings.Processor.Cores =
+      static_cast<unsigned>(Limits.integer("cores", 1, MaxCores, 1));
   Limits.finish();
 }
 
+/// Reads the availability zones and the region of each.
+void readZones(const std::vector<JsonReader> &Zones, NodeSettings &Settings) {
+  for (JsonReader Zone : Zones) {
+    const ZoneId Name(Zone.text("name"));
+    Settings.ZoneRegions.emplace(Name, RegionId(Zone.text("region")));
+    Zone.finish();
+  }
+}
+
+void readColdUpstreams(JsonReader Cold, NodeSettings &Settings) {
+  ColdUpstreamLimits Limits;
+  Limits.Overage = Cold.number("overage", 0, MaxRatio);
+  Limits.Allowance = Cold.number("allowance", 0, MaxSlack);
+  Cold.finish();
+  Settings.ColdUpstreams = Limits;
+}
+
 } // namespace
 
 Result<NodeSettings> parseNodeSettings(const std::string &Text) {
@@ -109,11 +138,18 @@
       std::chrono::seconds(Root.integer("stop_grace_s", 1, MaxSeconds));
   Settings.MaxAddressTtl =
       std::chrono::seconds(Root.integer("max_address_ttl_s", 1, MaxSeconds));
+  Settings.AddressesBySize = Root.boolean("addresses_by_size", false);
   readListen(Root.object("listen"), Settings);
   readPeers(Root.object("peers"), Settings);
   readRetries(Root.object("retries"), Settings);
   readPlacement(Root.object("placement"), Settings);
   readLimits(Root.object("limits"), Settings);
+  readZones(Root.objectList("zones"), Settings);
+  if (Root.has("cold_upstreams"))
+    readColdUpstreams(Root.object("cold_upstreams"), Settings);
+  if (Root.has("evacuation_ms"))
+    Settings.EvacuationTime =
+        Milliseconds(Root.integer("evacuation_ms", 1, MaxMilliseconds));
   Root.finish();
   if (FirstError)
     return *FirstError;
--- a/src/dataplane/peer_directory.cpp
+++ b/src/dataplane/peer_directory.cpp
@@ -26,19 +26,24 @@
 constexpr std::uint64_t BackupDigestInterval = 10;
 /// Number of live routers of each other zone that a digest is sent to.
 constexpr std::size_t DigestTargetsPerZone = 2;
-/// Age at which the digest of a zone expires. The second router of a zone sends
-/// a digest about once a second, so this covers two of them.
-constexpr Milliseconds DigestLifetime{2'500};
 /// Minimum age of a digest before one from another sender may replace it.
 constexpr Milliseconds DigestTakeover{500};
+/// Time without a report after which a router is not advertised, even if this
+/// router may be isolated. The platform wants routers that have ended gone from
+/// answers after 7 s.
+constexpr Milliseconds MaxAdvertisedSilence{6'000};
+/// The same for a registered router that was never heard; it may have ended
+/// before this one started.
+constexpr Milliseconds MaxUnheardTime{2'500};
+/// Time without any report after which this router may have been stopped or cut
+/// off, so that the silence of others tells nothing.
+constexpr Milliseconds MaxReportGap{1'000};
 /// Minimum number of registered routers for detecting that this router is slow
 /// or isolated.
 constexpr std::size_t MinFleetForIsolationCheck = 4;
 /// This router counts as slow or isolated if fewer than one in this many
 /// registered routers is live.
 constexpr std::size_t IsolationFactor = 4;
-/// Bound on the features with crashes in a digest.
-constexpr std::size_t MaxDigestFeatures = 512;
 /// Time since the last report after which an unregistered router is removed.
 constexpr Milliseconds UnregisteredRetention{10'000};
 
@@ -53,18 +58,6 @@
   return RouterKey(stableHash(Id.Value));
 }
 
-void addUsage(UsageTable &Total, const UsageTable &Added) {
-  for (const auto &[Key, Usage] : Added) {
-    Total[Key].Demand += Usage.Demand;
-    Total[Key].Admitted += Usage.Admitted;
-  }
-}
-
-void addLoads(LoadTable &Total, const LoadTable &Added) {
-  for (const auto &[Key, Load] : Added)
-    Total[Key] += Load;
-}
-
 } // namespace
 
 bool PeerDirectory::isLive(const Peer &Router) const {
@@ -80,6 +73,16 @@
   return inSameZone(Router) ? Router.LastReport.Ready : Router.ReadyInDigest;
 }
 
+bool PeerDirectory::isSilent(const Peer &Router) const {
+  const TimePoint Now = Time.now();
+  if (Now - HeardAt >= MaxReportGap)
+    return false;
+  const bool Unheard = Router.ReceivedAt == TimePoint{};
+  const TimePoint Since =
+      std::max(HearingSince, Unheard ? Router.RegisteredAt : Router.ReceivedAt);
+  return Now - Since >= (Unheard ? MaxUnheardTime : MaxAdvertisedSilence);
+}
+
 void PeerDirectory::setRegistered(
     const std::vector<RouterRecord> &Registrations) {
   for (auto &[Id, Router] : Peers)
@@ -93,6 +96,11 @@
     Router.Registered = true;
   }
   const TimePoint Now = Time.now();
+  for (auto &[Id, Router] : Peers)
+    if (!Router.Registered)
+      Router.RegisteredAt = TimePoint{};
+    else if (Router.RegisteredAt == TimePoint{})
+      Router.RegisteredAt = Now;
   std::erase_if(Peers, [Now](const auto &Entry) {
     return !Entry.second.Registered &&
            Now - Entry.second.ReceivedAt > UnregisteredRetention;
@@ -113,6 +121,10 @@
 AcceptResult PeerDirectory::accept(PeerReport Report) {
   if (Report.Sender == Self.Id)
     return {};
+  const TimePoint Now = Time.now();
+  if (Now - HeardAt >= MaxReportGap)
+    HearingSince = Now;
+  HeardAt = Now;
   return Report.Members.empty() ? acceptRouterReport(std::move(Report))
                                 : acceptDigest(std::move(Report));
 }
@@ -133,6 +145,7 @@
   Router.Record.PeerAddress = Report.Sender.Value;
   Router.Record.CallerAddress = Report.CallerAddress;
   Router.Demand = Report.Demand;
+  Router.Load = Report.Load;
   Router.LastReport = std::move(Report);
   Router.ReceivedAt = Time.now();
   if (IsNew)
@@ -168,6 +181,8 @@
     Router.Record.CallerAddress = Member.CallerAddress;
     Router.ReadyInDigest = Member.Ready;
     Router.Demand = Member.Demand;
+    if (Report.WithMemberLoads)
+      Router.Load = Member.Load;
     Router.ReceivedAt = Now;
   }
   Stored.LastReport = std::move(Report);
@@ -218,38 +233,24 @@
   return zoneRank() != 1 || Sequence % BackupDigestInterval == 0;
 }
 
-PeerReport PeerDirectory::makeDigest(PeerReport Own) const {
-  Own.Members.push_back({Self.Id, Self.CallerAddress, Own.Ready, Own.Demand});
-  for (const auto &[Id, Router] : Peers) {
-    if (!inSameZone(Router) || !isLive(Router))
-      continue;
-    Own.Members.push_back({Id, Router.Record.CallerAddress,
-                           Router.LastReport.Ready, Router.Demand});
-    Own.WorkLimitFactorSum += Router.LastReport.WorkLimitFactorSum;
-    addLoads(Own.Loads, Router.LastReport.Loads);
-    addUsage(Own.Usage, Router.LastReport.Usage);
-    Own.Crashes.add(Router.LastReport.Crashes,
-                    sinceReceived(Router.ReceivedAt));
-    mergeLatest(Own.Limits, Router.LastReport.Limits,
-                sinceReceived(Router.ReceivedAt));
-  }
-  Own.Crashes.limit(MaxDigestFeatures);
-  // The sequence numbers date a proof only for routers of this zone, whose
-  // reports are received here.
-  if (Own.Proof)
-    Own.Proof->ReceivedSequences.clear();
-  return Own;
+std::vector<std::string> PeerDirectory::callerAddresses() const {
+  std::vector<std::string> Addresses;
+  for (RouterCandidate &Router : callerRouters())
+    Addresses.push_back(std::move(Router.Address));
+  return Addresses;
 }
 
-std::vector<std::string> PeerDirectory::callerAddresses() const {
-  std::vector<std::string> Live;
-  std::vector<std::string> Registered;
+std::vector<RouterCandidate> PeerDirectory::callerRouters() const {
+  std::vector<RouterCandidate> Live;
+  std::vector<RouterCandidate> Registered;
   for (const auto &[Id, Router] : Peers) {
     const bool Reported = Router.ReceivedAt != TimePoint{};
+    if (isSilent(Router))
+      continue;
     if (isLive(Router) && isReady(Router))
-      Live.push_back(Router.Record.CallerAddress);
+      Live.push_back(candidate(Router));
     if (Router.Registered && (!Reported || isReady(Router)))
-      Registered.push_back(Router.Record.CallerAddress);
+      Registered.push_back(candidate(Router));
   }
   // If few of the registered routers are live, this router is probably slow or
   // isolated itself; sending all callers to those few would overload them.
@@ -331,37 +332,6 @@
   return Members;
 }
 
-PeerSums PeerDirectory::sums() const {
-  PeerSums Sum;
-  Sum.FirstOfFleet = isFirstOfFleet();
-  Sum.Members = limitMembers();
-  for (const auto &[Id, Router] : Peers) {
-    if (!inSameZone(Router) || !isLive(Router))
-      continue;
-    Sum.WorkLimitFactorSum += Router.LastReport.WorkLimitFactorSum;
-    Sum.Routers += 1;
-    addLoads(Sum.Loads, Router.LastReport.Loads);
-    addUsage(Sum.Usage, Router.LastReport.Usage);
-    Sum.Crashes.add(Router.LastReport.Crashes,
-                    sinceReceived(Router.ReceivedAt));
-    mergeLatest(Sum.Limits, Router.LastReport.Limits,
-                sinceReceived(Router.ReceivedAt));
-  }
-  for (const auto &[Zone, ZoneDigest] : Digests) {
-    if (Time.now() - ZoneDigest.ReceivedAt >= DigestLifetime)
-      continue;
-    Sum.WorkLimitFactorSum += ZoneDigest.LastReport.WorkLimitFactorSum;
-    Sum.Routers += static_cast<double>(ZoneDigest.LastReport.Members.size());
-    addLoads(Sum.Loads, ZoneDigest.LastReport.Loads);
-    addUsage(Sum.Usage, ZoneDigest.LastReport.Usage);
-    Sum.Crashes.add(ZoneDigest.LastReport.Crashes,
-                    sinceReceived(ZoneDigest.ReceivedAt));
-    mergeLatest(Sum.Limits, ZoneDigest.LastReport.Limits,
-                sinceReceived(ZoneDigest.ReceivedAt));
-  }
-  return Sum;
-}
-
 bool PeerDirectory::othersAcceptCallers() const {
   std::size_t Live = 0;
   std::size_t Ready = 0;
--- a/src/dataplane/peer_message.cpp
+++ b/src/dataplane/peer_message.cpp
@@ -8,6 +8,7 @@
 #include <algorithm>
 #include <cmath>
 #include <map>
+#include <stdexcept>
 #include <tuple>
 #include <vector>
 
@@ -39,10 +40,38 @@
 constexpr const char *DemandPart = "demand";
 /// Demands of the members of a digest, in their order.
 constexpr const char *MemberDemandPart = "member_demand";
+/// Size, busy connections and lookups of the sender, or of each member of a
+/// digest, in their order.
+constexpr const char *RouterLoadPart = "router_load";
+using RouterLoadRow = std::tuple<std::uint32_t, std::uint32_t, std::uint32_t>;
+/// Zones that the operator empties.
+constexpr const char *EvacuatedPart = "evacuated";
 /// Process, requests per second or a negative number for no limit, age in
 /// milliseconds, whether the statement is a direct one.
 using LimitRow = std::tuple<std::uint64_t, float, std::uint32_t, bool>;
+constexpr const char *ColdPart = "cold";
+/// Process, remaining time and age in milliseconds.
+using ColdRow = std::tuple<std::uint64_t, std::uint32_t, std::uint32_t>;
+/// Bound on the cold upstreams that a report names.
+constexpr std::size_t MaxColdRows = 4'096;
 using DemandRow = std::tuple<std::uint64_t, float>;
+/// Era and revision of the store, zones that it lists, zones held since it was
+/// restored.
+using EvacuatedRow =
+    std::tuple<std::uint64_t, std::int64_t, std::vector<std::string>,
+               std::vector<std::string>>;
+/// Workspaces whose requests wait or are refused now, and tokens of these.
+constexpr const char *UnmetPart = "unmet";
+using UnmetRow = std::tuple<std::uint64_t, std::uint32_t>;
+/// Bound on the workspaces that a report names as not served.
+constexpr std::size_t MaxUnmetRows = 256;
+constexpr const char *OfferedPart = "offered";
+/// Bounds on the rates of one report; others are ignored.
+constexpr std::size_t MaxOfferedRates = 64;
+constexpr float MaxOfferedRate = 1e6F;
+/// Prefix, process of the engine that it was sent to, age in milliseconds.
+constexpr const char *PrefixesPart = "prefixes";
+using PrefixRow = std::tuple<std::uint64_t, std::uint64_t, std::uint32_t>;
 using NamedParts = std::map<std::string, msgpack::object>;
 
 std::uint32_t toUint32(double Value) {
@@ -66,6 +95,38 @@
   return Demand;
 }
 
+RouterLoadRow routerLoadRow(const RouterLoad &Load) {
+  return {Load.Size, Load.Busy, Load.Lookups};
+}
+
+RouterLoad routerLoadOf(const RouterLoadRow &Row) {
+  const auto &[Size, Busy, Lookups] = Row;
+  // Larger values are damaged; sums are made of them.
+  constexpr std::uint32_t MaxValue = 1U << 24U;
+  return {std::min(Size, MaxValue), std::min(Busy, MaxValue),
+          std::min(Lookups, MaxValue)};
+}
+
+std::vector<std::string> zoneRows(const std::set<ZoneId> &Zones) {
+  std::vector<std::string> Rows;
+  for (const ZoneId &Zone : Zones)
+    if (Rows.size() < EvacuationReport::MaxZones)
+      Rows.push_back(Zone.Value);
+  return Rows;
+}
+
+std::set<ZoneId> zonesOf(const std::vector<std::string> &Rows) {
+  if (Rows.size() > EvacuationReport::MaxZones)
+    throw std::length_error("too many evacuated zones");
+  std::set<ZoneId> Zones;
+  for (const std::string &Name : Rows) {
+    if (Name.empty() || Name.size() > EvacuationReport::MaxZoneBytes)
+      throw std::length_error("malformed name of an evacuated zone");
+    Zones.insert(ZoneId(Name));
+  }
+  return Zones;
+}
+
 /// Appends the named parts that are not empty.
 void packParts(msgpack::sbuffer &Buffer, const PeerReport &Report) {
   std::vector<LimitRow> Limits;
@@ -84,10 +145,50 @@
   msgpack::zone Zone;
   if (!Limits.empty())
     Parts.emplace(LimitsPart, msgpack::object(Limits, Zone));
+  if (Report.Evacuated)
+    Parts.emplace(
+        EvacuatedPart,
+        msgpack::object(EvacuatedRow(Report.Evacuated->ReadAt.Era.Value,
+                                     Report.Evacuated->ReadAt.Revision,
+                                     zoneRows(Report.Evacuated->Zones),
+                                     zoneRows(Report.Evacuated->Held)),
+                        Zone));
+  std::vector<ColdRow> Cold;
+  for (const auto &[Process, Notice] : Report.Cold)
+    if (Notice.Remaining.count() > 0 && Cold.size() < MaxColdRows)
+      Cold.emplace_back(Process.Value,
+                        toUint32(static_cast<double>(Notice.Remaining.count())),
+                        toUint32(static_cast<double>(Notice.Age.count())));
+  if (!Cold.empty())
+    Parts.emplace(ColdPart, msgpack::object(Cold, Zone));
   if (!Report.Demand.empty())
     Parts.emplace(DemandPart, msgpack::object(demandRows(Report.Demand), Zone));
+  std::vector<UnmetRow> Unmet;
+  for (const auto &[Key, Entry] : Report.Usage)
+    if (Entry.Unmet >= 1 && Unmet.size() < MaxUnmetRows)
+      Unmet.emplace_back(Key.Value, toUint32(Entry.Unmet));
+  if (!Unmet.empty())
+    Parts.emplace(UnmetPart, msgpack::object(Unmet, Zone));
+  if (!Report.Offered.empty())
+    Parts.emplace(OfferedPart,
+                  msgpack::object(demandRows(Report.Offered), Zone));
   if (AnyDemand)
     Parts.emplace(MemberDemandPart, msgpack::object(MemberDemand, Zone));
+  std::vector<RouterLoadRow> RouterLoads;
+  if (Report.Members.empty() && Report.Load.Size > 0)
+    RouterLoads.push_back(routerLoadRow(Report.Load));
+  if (Report.WithMemberLoads)
+    for (const ZoneMember &Member : Report.Members)
+      RouterLoads.push_back(routerLoadRow(Member.Load));
+  if (!RouterLoads.empty())
+    Parts.emplace(RouterLoadPart, msgpack::object(RouterLoads, Zone));
+  std::vector<PrefixRow> Prefixes;
+  for (const PrefixPlacement &Each : Report.Prefixes)
+    if (Prefixes.size() < PrefixHolders::MaxReported)
+      Prefixes.emplace_back(Each.Prefix, Each.Engine.Value,
+                            toUint32(static_cast<double>(Each.Age.count())));
+  if (!Prefixes.empty())
+    Parts.emplace(PrefixesPart, msgpack::object(Prefixes, Zone));
   if (!Parts.empty())
     msgpack::pack(Buffer, Parts);
 }
@@ -118,14 +219,52 @@
       Limit.Direct = Direct;
       Report.Limits.emplace(UpstreamProcess(Process), Limit);
     }
+  if (const auto Found = Parts.find(ColdPart); Found != Parts.end())
+    for (const auto &[Process, Remaining, Age] :
+         Found->second.as<std::vector<ColdRow>>())
+      if (Report.Cold.size() < MaxColdRows)
+        Report.Cold.emplace(
+            UpstreamProcess(Process),
+            ColdNotice{Milliseconds(Remaining), Milliseconds(Age)});
   if (const auto Found = Parts.find(DemandPart); Found != Parts.end())
     Report.Demand = demandOf(Found->second.as<std::vector<DemandRow>>());
+  if (const auto Found = Parts.find(EvacuatedPart); Found != Parts.end()) {
+    const auto [Era, Revision, Zones, Held] = Found->second.as<EvacuatedRow>();
+    Report.Evacuated = {
+        {StoreEra(Era), Revision}, zonesOf(Zones), zonesOf(Held)};
+  }
+  if (const auto Found = Parts.find(UnmetPart); Found != Parts.end())
+    for (const auto &[Key, Tokens] : Found->second.as<std::vector<UnmetRow>>())
+      if (const auto Usage = Report.Usage.find(WorkspaceKey(Key));
+          Usage != Report.Usage.end())
+        Usage->second.Unmet = double(Tokens);
+  if (const auto Found = Parts.find(OfferedPart); Found != Parts.end())
+    for (const auto &[Service, Rate] :
+         Found->second.as<std::vector<DemandRow>>())
+      if (Report.Offered.size() < MaxOfferedRates && Rate >= 0 &&
+          Rate <= MaxOfferedRate)
+        Report.Offered.emplace(ServiceKey(Service), RequestRate(Rate));
+  if (const auto Found = Parts.find(PrefixesPart); Found != Parts.end())
+    for (const auto &[Prefix, Engine, Age] :
+         Found->second.as<std::vector<PrefixRow>>())
+      if (Report.Prefixes.size() < PrefixHolders::MaxReported)
+        Report.Prefixes.push_back(
+            {Prefix, UpstreamProcess(Engine), Milliseconds(Age)});
   if (const auto Found = Parts.find(MemberDemandPart); Found != Parts.end()) {
     const auto Rows = Found->second.as<std::vector<std::vector<DemandRow>>>();
     const std::size_t Count = std::min(Rows.size(), Report.Members.size());
     for (std::size_t Index = 0; Index < Count; ++Index)
       Report.Members[Index].Demand = demandOf(Rows[Index]);
   }
+  if (const auto Found = Parts.find(RouterLoadPart); Found != Parts.end()) {
+    const auto Rows = Found->second.as<std::vector<RouterLoadRow>>();
+    if (Report.Members.empty() && !Rows.empty())
+      Report.Load = routerLoadOf(Rows.front());
+    const std::size_t Count = std::min(Rows.size(), Report.Members.size());
+    Report.WithMemberLoads = Count > 0;
+    for (std::size_t Index = 0; Index < Count; ++Index)
+      Report.Members[Index].Load = routerLoadOf(Rows[Index]);
+  }
 }
 
 } // namespace
--- a/src/dataplane/request_run.cpp
+++ b/src/dataplane/request_run.cpp
@@ -1,5 +1,7 @@
 #include <mallowglade/detail/dataplane/request_run.hpp>
 
+#include <mallowglade/detail/dataplane/queued_request.hpp>
+
 #include <asio/post.hpp>
 #include <fmt/format.h>
 
@@ -7,14 +9,6 @@
 
 namespace {
 
-/// Bytes not yet taken by the caller above which reading from the upstream
-/// pauses.
-constexpr std::size_t HighWaterMarkBytes = 131'072;
-/// Subtracted from the caller's deadline, so that the response reaches the
-/// caller in time.
-constexpr Milliseconds ResponseMargin{30};
-/// Fraction of the latency objective that a request may spend in the queue.
-constexpr double QueueTimeFraction = 0.6;
 /// An attempt that sent nothing, such as a refused connection, does not count
 /// against the route's attempts. It ends the request once more than this many
 /// attempts were not executed.
@@ -34,36 +28,15 @@
       Metadata(std::move(Metadata)), Config(std::move(Config)),
       MatchedRoute(MatchedRoute), Workspace(std::move(Workspace)),
       Features(std::move(Features)), IsProbe(IsProbe),
-      DeadlineTimer(Proxy.Context), Reader(MatchedRoute.Streaming) {}
+      DeadlineTimer(Proxy.Context), PauseTimer(Proxy.Context),
+      Reader(MatchedRoute.Streaming) {}
 
 void RequestRun::start() {
-  Arrived = Proxy.Time.now();
-  Milliseconds Limit = MatchedRoute.Timeout;
-  if (Metadata.Deadline)
-    Limit = std::min(Limit, *Metadata.Deadline - ResponseMargin);
-  Deadline = Arrived + Limit;
+  Deadline = describeRequest(*this, MatchedRoute, Metadata, Workspace,
+                             pickService(MatchedRoute, Proxy.Random),
+                             Proxy.Time.now());
   History.Idempotent = MatchedRoute.Idempotent;
   History.MaxAttempts = MatchedRoute.MaxAttempts;
-  Query.Service = Proxy.pickService(MatchedRoute);
-  Query.LatencyObjective = MatchedRoute.LatencyObjective;
-  if (MatchedRoute.PromptAffinity && Metadata.Parts.size() >= 2) {
-    const std::size_t SharedParts = Metadata.Parts.size() - 1;
-    Query.Affinity = Metadata.Parts[SharedParts - 1].Hash;
-    for (std::size_t Index = 0; Index < SharedParts; ++Index)
-      Query.Work.SharedPrompt += Metadata.Parts[Index].Tokens;
-  }
-  Query.Work.UncachedPrompt =
-      std::max(0.0, Metadata.PromptTokens - Query.Work.SharedPrompt);
-  Query.Work.OutputTokens = Metadata.ExpectedOutputTokens > 0
-                                ? Metadata.ExpectedOutputTokens
-                                : Metadata.MaxOutputTokens / 2;
-  HasWorkspace = !Workspace.empty() && MatchedRoute.PromptAffinity;
-  ShareKey = WorkspaceKey(stableHash(Workspace.Value));
-  ShareTokens = Metadata.PromptTokens + 2 * Query.Work.OutputTokens;
-  Priority = MatchedRoute.Priority;
-  const auto MaxQueueTime = std::chrono::duration_cast<Milliseconds>(
-      MatchedRoute.LatencyObjective * QueueTimeFraction);
-  QueueDeadline = std::min(Deadline, Arrived + MaxQueueTime);
   if (HasWorkspace)
     Proxy.Shares.recordDemand(ShareKey, ShareTokens);
   Proxy.Retries.recordRequest(Query.Service);
@@ -123,7 +96,10 @@
                         Choice.FetchFrom->Record.Address.port())
           : "";
   Proxy.Upstreams.add(TargetUpstream.Id, ReservedLoad);
+  Proxy.Counters.PrefixesFetched += Choice.FetchFrom != nullptr ? 1 : 0;
   Proxy.Upstreams.limits().recordStart(TargetProcess);
+  Proxy.Counters.LeftZoneForLoad += Choice.Leaves == LeavesZone::ForLoad;
+  Proxy.Counters.LeftZoneForPrefix += Choice.Leaves == LeavesZone::ForPrefix;
   SentAt = Proxy.Time.now();
   Reader.reset();
   Head = http1::ResponseHead();
@@ -178,17 +154,19 @@
 
 bool RequestRun::maySend() {
   const bool Refused = !IsProbe && Proxy.Crashes.refusedFor(Features);
-  return !Refused && Proxy.Upstreams.takesRequests(TargetUpstream);
+  // A connection that takes long may be established when the upstream is back.
+  return !Refused && Proxy.Upstreams.takesRequests(TargetUpstream) &&
+         !Proxy.Upstreams.cold().turnedColdAfter(TargetProcess, SentAt);
 }
 
 bool RequestRun::acceptsUnidentified(const http1::ResponseHead &Received) {
   const ResponseMetadata Response = Proxy.Wire.readResponse(Received);
   const bool Refusal = Response.NotExecuted;
-  Proxy.Log.write("response_unidentified",
-                  {{"request", Metadata.Attempt.Value},
-                   {"upstream", TargetUpstream.Id.Value},
-                   {"status", std::int64_t(Received.Status)},
-                   {"refusal", Refusal ? "true" : "false"}});
+  Proxy.Log.writeForRequest("response_unidentified",
+                            {{"request", Metadata.Attempt.Value},
+                             {"upstream", TargetUpstream.Id.Value},
+                             {"status", std::int64_t(Received.Status)},
+                             {"refusal", Refusal ? "true" : "false"}});
   if (!Refusal)
     return false;
   Proxy.Upstreams.refusedUnidentified(TargetUpstream.Id);
@@ -241,6 +219,7 @@
     Proxy.scheduleDispatch();
   }
   if (FirstEventDelay.count() < 0) {
+    Proxy.Placer.recordPrefixRead(Query, TargetProcess);
     FirstEventDelay =
         std::chrono::duration_cast<Milliseconds>(Proxy.Time.now() - Arrived);
     Proxy.Placer.recordFirstEvent(FirstEventDelay <=
@@ -254,7 +233,11 @@
   RelayStarted = true;
   Exchange->OnDrained = [Weak = weak_from_this()] {
     const auto Self = Weak.lock();
-    if (Self && Self->Connection)
+    if (!Self)
+      return;
+    Self->PauseTimer.cancel();
+    Self->Window.reset();
+    if (Self->Connection)
       Self->Connection->resume();
   };
   Exchange->startBody(Head.Status, responseFields(Head));
@@ -268,8 +251,20 @@
     recordFirstEvent();
   beginRelay();
   Exchange->send(Bytes);
-  if (Exchange->unsentBytes() > HighWaterMarkBytes && Connection)
-    Connection->pause();
+  if (Window.isFull(Exchange->unsentBytes()) && Connection)
+    pauseUpstream();
+}
+
+void RequestRun::pauseUpstream() {
+  Connection->pause();
+  PauseTimer.expires_after(RelayWindow::MaxPause);
+  PauseTimer.async_wait([Weak = weak_from_this()](std::error_code Error) {
+    const auto Self = Weak.lock();
+    if (Error || !Self || !Self->Connection)
+      return;
+    Self->Window.widen();
+    Self->Connection->resume();
+  });
 }
 
 http1::HeaderList
@@ -298,6 +293,8 @@
     relay();
   endAttempt(true);
   Proxy.Upstreams.answered(TargetUpstream.Id);
+  recordTaken(
+      std::chrono::duration_cast<Milliseconds>(Proxy.Time.now() - SentAt));
   if (isSuccess(Head.Status))
     Proxy.Crashes.recordAnswered(Features);
   if (!Reader.relaysBody()) {
@@ -317,6 +314,7 @@
 void RequestRun::endRefusedAttempt(bool KeepConnection) {
   ++UnexecutedAttempts;
   endAttempt(KeepConnection);
+  Proxy.Placer.smallServices().recordRefusal(Query.Service);
   retryOrFail(AttemptFailure::RefusedByUpstream, "upstream_refused");
 }
 
@@ -326,6 +324,7 @@
     return;
   }
   endAttempt(false);
+  recordTaken(std::nullopt);
   if (Fault == ResponseFault::BrokenOff) {
     Proxy.Upstreams.failed(TargetUpstream.Id);
     recordBrokenOff();
@@ -349,21 +348,32 @@
     if (Failure == http1::ExchangeFailure::NotConnected) {
       Proxy.Upstreams.failed(TargetUpstream.Id);
       Proxy.Crashes.recordGone(TargetProcess);
+      Proxy.observeUnreachable(TargetProcess);
     }
     retryOrFail(AttemptFailure::NotSent, "not_connected");
     return;
   }
   Proxy.Upstreams.failed(TargetUpstream.Id);
+  recordTaken(std::nullopt);
   if (Failure == http1::ExchangeFailure::Interrupted)
     recordBrokenOff();
+  if (Failure == http1::ExchangeFailure::Unresponsive)
+    Proxy.observeUnreachable(TargetProcess);
   retryOrFail(AttemptFailure::Interrupted,
               Failure == http1::ExchangeFailure::Malformed ? "answer_malformed"
                                                            : "connection_lost");
 }
 
+void RequestRun::recordTaken(std::optional<Milliseconds> Took) {
+  constexpr unsigned FirstServerError = 500;
+  Proxy.Placer.smallServices().recordOutcome(Query.Service, TargetProcess, Took,
+                                             !Took || Head.Status >=
+                                                          FirstServerError);
+}
+
 void RequestRun::recordBrokenOff() {
   const UpstreamState *State = Proxy.Upstreams.find(TargetUpstream.Id);
-  // An upstream that leaves may end with requests running.
+  // An upstream that leaves or is evacuated may end with requests running.
   if (State != nullptr && State->staysInUse())
     Proxy.Crashes.recordBrokenOff(Features, TargetProcess, SentAt);
 }
@@ -381,7 +391,8 @@
   Connection = nullptr;
   if (!FinishedConnection)
     return;
-  if (KeepConnection && !Proxy.Upstreams.isLeaving(TargetUpstream))
+  if (KeepConnection && !Proxy.Upstreams.isLeaving(TargetUpstream) &&
+      !Proxy.Upstreams.isEvacuated(TargetUpstream.Id))
     Proxy.Pool.release(TargetUpstream.Address, FinishedConnection);
   else
     FinishedConnection->cancel();
@@ -407,11 +418,12 @@
     ++Proxy.Counters.Retries;
     if (WasRelaying)
       ++Proxy.Counters.ResumedStreams;
-    Proxy.Log.write("retry", {{"request", Metadata.Attempt.Value},
-                              {"upstream", TargetUpstream.Id.Value},
-                              {"cause", Cause},
-                              {"attempts", std::int64_t(History.Attempts)},
-                              {"shared_parts", sharedParts()}});
+    Proxy.Log.writeForRequest("retry",
+                              {{"request", Metadata.Attempt.Value},
+                               {"upstream", TargetUpstream.Id.Value},
+                               {"cause", Cause},
+                               {"attempts", std::int64_t(History.Attempts)},
+                               {"shared_parts", sharedParts()}});
     Query.Excluded.insert(TargetUpstream.Id);
     QueueDeadline = Deadline;
     PreviouslySent = true;
--- a/src/dataplane/request_run_outcome.cpp
+++ b/src/dataplane/request_run_outcome.cpp
@@ -42,6 +42,10 @@
     ++Proxy.Counters.RefusedForQuarantine;
   if (Reason == Refusal::UpstreamsLimited)
     ++Proxy.Counters.RefusedForLimits;
+  if (Reason == Refusal::ZonesEvacuated)
+    ++Proxy.Counters.RefusedForEvacuation;
+  if (Reason == Refusal::NoHomeUpstream)
+    ++Proxy.Counters.RefusedForHomes;
   const unsigned Status = Reason == Refusal::ShareUsedUp ? 429 : 503;
   respondWithError(Status, toString(Reason), RetryAfter);
 }
@@ -49,6 +53,8 @@
 void RequestRun::onDeadline() {
   Proxy.Queue.withdraw(this);
   const bool AwaitingUpstream = Connection != nullptr;
+  if (AwaitingUpstream)
+    recordTaken(std::nullopt);
   endAttempt(false);
   if (RelayStarted) {
     Exchange->abort();
@@ -82,6 +88,7 @@
     return;
   Done = true;
   DeadlineTimer.cancel();
+  PauseTimer.cancel();
   Exchange->OnDisconnected = nullptr;
   Exchange->OnDrained = nullptr;
   log(Outcome, Status);
@@ -109,7 +116,7 @@
   const auto QueueTime =
       Dispatched ? std::chrono::duration_cast<Milliseconds>(SentAt - Arrived)
                  : TotalTime;
-  Proxy.Log.write(
+  Proxy.Log.writeForRequest(
       "request",
       {{"request", Metadata.Attempt.Value},
        {"route", MatchedRoute.Name},
--- a/src/dataplane/traffic.cpp
+++ b/src/dataplane/traffic.cpp
@@ -23,6 +23,8 @@
 constexpr double CrowdedFraction = 0.5;
 /// Buffered request bodies may take the memory limit divided by this.
 constexpr std::size_t BodyMemoryDivisor = 5;
+/// The same for what callers have not read of their responses.
+constexpr std::size_t UnsentMemoryDivisor = 8;
 /// Time to connect, and time that sent bytes may stay unacknowledged.
 constexpr http1::UpstreamTimeouts ConnectionTimeouts{Milliseconds(1'000),
                                                      Milliseconds(2'000)};
@@ -51,6 +53,7 @@
   Limits.SoftMaxConnections = static_cast<std::size_t>(
       CrowdedFraction * static_cast<double>(Limits.MaxConnections));
   Limits.MaxBufferedBytes = Settings.MemoryBytes / BodyMemoryDivisor;
+  Limits.MaxUnsentBytes = Settings.MemoryBytes / UnsentMemoryDivisor;
   return Limits;
 }
 
@@ -86,7 +89,10 @@
       Placer(Upstreams, Time, Random, Settings.Zone, Settings.PlacementLimits),
       Shares(Time), Queue(Placer, Shares, Time, Random),
       Retries(Settings.Retries, Time), Crashes(Time, Random.next()),
-      Ticker(Context) {}
+      ExplanationRandom(stableHash("explain", stableHash(Settings.PeerListen))),
+      Ticker(Context) {
+  Placer.setZoneRegions(Settings.ZoneRegions);
+}
 
 Traffic::~Traffic() {
   // The requests in flight use the other members until they have ended.
@@ -154,9 +160,23 @@
 void Traffic::apply(const ControlView &Next) {
   const bool ConfigChanged = Next.Config != View.Config;
   View = Next;
+  const bool KnowsCold = Settings.ColdUpstreams && View.Config;
+  if (KnowsCold && ConfigChanged)
+    Upstreams.cold().configure(
+        *View.Config,
+        {*Settings.ColdUpstreams, Settings.Zone, Settings.UpstreamHeartbeat});
   for (const UpstreamRecord &Removed : Upstreams.update(View.Upstreams))
     Pool.closeIdleConnections(Removed.Address);
+  for (const UpstreamRecord &Emptied :
+       Upstreams.setEvacuated(View.EvacuatedZones))
+    Pool.closeIdleConnections(Emptied.Address);
+  if (KnowsCold) {
+    Upstreams.cold().setEvacuated(View.EvacuatedZones);
+    updateCold();
+    countUnreadableRegistrations();
+  }
   Retries.setRouters(View.Routers);
+  Placer.smallServices().setRouters(View.Routers);
   Crashes.merge(View.Stored);
   if (!View.Config)
     return;
@@ -176,10 +196,21 @@
   Crashes.merge(Sums.Crashes);
   Crashes.setFleet(Sums.FirstOfFleet, View.Routers);
   Placer.workLimitController().setPeers(Sums.WorkLimitFactorSum, Sums.Routers);
+  logWorkLimit();
+  Upstreams.cold().setPeers(Sums.Cold);
   Upstreams.limits().setPeers(Sums.Limits, Sums.Members);
-  if (View.Config)
-    Shares.update(View.Config->Limits.TokensPerSecond *
-                  Placer.capacityFraction());
+  updateCold();
+  if (ZoneChoice *Zones = Placer.zoneChoice())
+    updateZones(*Zones, Sums.SilentZones);
+  Placer.smallServices().setPeers(Sums.Offered);
+  if (Placer.zoneChoice() != nullptr)
+    Placer.prefixHolders().addReported(Sums.Prefixes);
+  logSmallServices();
+  if (View.Config) {
+    const double Fraction = Placer.capacityFraction();
+    Shares.setCapacityReduced(Fraction < 1);
+    Shares.update(View.Config->Limits.TokensPerSecond * Fraction);
+  }
   Queue.dispatch();
 }
 
@@ -204,9 +235,26 @@
              {"own_share", Share ? Share->Value : 0.0}});
 }
 
+void Traffic::observeUnreachable(UpstreamProcess Process) {
+  if (!Upstreams.cold().recordUnreachable(Process))
+    return;
+  ++Counters.UpstreamsUnreachable;
+  updateCold();
+}
+
 void Traffic::observe(const UpstreamRecord &Upstream,
                       const ResponseMetadata &Response, TimePoint SentAt) {
   observeLimit(Upstream, Response, SentAt);
+  if (Response.Load)
+    Upstreams.statedLoads().record(upstreamProcess(Upstream), *Response.Load,
+                                   SentAt);
+  if (Response.LoadUnreadable)
+    recordUnreadable(Statement::Load, 1, Upstream.Id);
+  if (Response.ColdUnreadable && Settings.ColdUpstreams)
+    recordUnreadable(Statement::ColdTime, 1, Upstream.Id);
+  if (Response.ColdRemaining)
+    Upstreams.cold().recordStated(upstreamProcess(Upstream),
+                                  *Response.ColdRemaining);
   if (Response.Leaving && Upstreams.leaving(Upstream)) {
     Pool.closeIdleConnections(Upstream.Address);
     Log.write("upstream_leaving", {{"upstream", Upstream.Id.Value}});
@@ -225,17 +273,25 @@
 
 TrafficReport Traffic::report() {
   updateQuarantines();
+  countSlowCallers();
   std::tie(Counters.UpstreamsLeaving, Counters.UpstreamsPaused) =
       Upstreams.countNoticed();
+  Counters.UpstreamsEvacuated = Upstreams.countEvacuated();
+  Counters.UpstreamsCold = Upstreams.cold().coldCount();
   Counters.UpstreamsLimited = Upstreams.limits().limitedCount();
+  updateSlowUpstreams();
+  Counters.SmallServices = Placer.smallServices().status();
   return {Upstreams.ownLoads(),
           Shares.ownUsage(),
           Crashes.report(),
           Upstreams.limits().report(),
           Upstreams.limits().ownDemand(),
+          Upstreams.cold().report(),
           Server.busyConnections(),
           Overload.withheldFromCallers(Time.now()),
-          Placer.workLimitController().own()};
+          Placer.workLimitController().own(),
+          Placer.smallServices().ownRates(),
+          Placer.prefixHolders().report()};
 }
 
 void Traffic::drain() {
@@ -271,22 +327,6 @@
   });
 }
 
-const ServiceId &Traffic::pickService(const Route &MatchedRoute) {
-  double TotalWeight = 0;
-  for (const ServiceWeight &Candidate : MatchedRoute.Services)
-    TotalWeight += Candidate.Weight;
-  constexpr std::uint64_t Resolution = 1U << 20U;
-  double Remaining = TotalWeight *
-                     static_cast<double>(Random.below(Resolution)) /
-                     static_cast<double>(Resolution);
-  for (const ServiceWeight &Candidate : MatchedRoute.Services) {
-    if (Remaining < Candidate.Weight)
-      return Candidate.Service;
-    Remaining -= Candidate.Weight;
-  }
-  return MatchedRoute.Services.back().Service;
-}
-
 void Traffic::refuseRequest(http1::ServerExchange &Exchange, unsigned Status,
                             std::string_view Reason, const AttemptId &Attempt,
                             const WorkspaceId &Workspace) {
@@ -294,7 +334,7 @@
   if (Status == 503)
     Fields.add("Retry-After", std::string(RefusalRetryAfterSeconds));
   ++Counters.Refused;
-  Log.write(
+  Log.writeForRequest(
       "request",
       {{"request", Attempt.Value},
        {"target", Exchange.Head.Target},
@@ -316,14 +356,15 @@
                                 const WorkspaceId &Workspace) {
   ++Counters.Refused;
   ++Counters.RefusedForQuarantine;
-  Log.write("request", {{"request", Metadata.Attempt.Value},
-                        {"target", Exchange.Head.Target},
-                        {"caller", Exchange.ClientAddress.to_string()},
-                        {"workspace", Workspace.Value},
-                        {"outcome", "crashes_upstreams"},
-                        {"status", std::int64_t(503)},
-                        {"feature", toHex(Feature.Hash)},
-                        {"kind", toString(Feature.Kind)}});
+  Log.writeForRequest("request",
+                      {{"request", Metadata.Attempt.Value},
+                       {"target", Exchange.Head.Target},
+                       {"caller", Exchange.ClientAddress.to_string()},
+                       {"workspace", Workspace.Value},
+                       {"outcome", "crashes_upstreams"},
+                       {"status", std::int64_t(503)},
+                       {"feature", toHex(Feature.Hash)},
+                       {"kind", toString(Feature.Kind)}});
   http1::HeaderList Fields;
   Fields.add("Retry-After", std::to_string(QuarantineRetryAfter.count()));
   Fields.add("Content-Type", "application/json");
@@ -332,64 +373,61 @@
                        toHex(Feature.Hash) + R"("})");
 }
 
-void Traffic::updateQuarantines() {
-  for (const QuarantineChange &Change : Crashes.update())
-    Log.write(Crashes.isQuarantined(Change.Feature) ? "quarantine_begins"
-                                                    : "quarantine_ends",
-              {{"feature", toHex(Change.Feature.Hash)},
-               {"kind", toString(Change.Feature.Kind)},
-               {"cause", toString(Change.Why)},
-               {"crashes", std::int64_t(Change.Crashes)},
-               {"background_rate", Change.BackgroundRate}});
-  Counters.QuarantinedFeatures = Crashes.quarantinedCount();
+Traffic::Arrival Traffic::examine(const std::string *Host,
+                                  std::string_view Path,
+                                  const WorkspaceLookup &FindCaller) {
+  Arrival Found;
+  const auto Refuse = [&Found](unsigned Status, std::string_view Reason) {
+    Found.Status = Status;
+    Found.Reason = Reason;
+    return Found;
+  };
+  if (!View.Config)
+    return Refuse(503, "no_configuration");
+  if (Host == nullptr)
+    return Refuse(400, "bad_request");
+  Found.MatchedRoute = View.Config->match(*Host, Path);
+  if (Found.MatchedRoute == nullptr || Found.MatchedRoute->Services.empty())
+    return Refuse(404, "no_route");
+  if (!View.Config->Workspaces.empty() && !Found.MatchedRoute->Public) {
+    if (!credentialsFresh())
+      return Refuse(503, "credentials_not_fresh");
+    Found.Caller = FindCaller(*View.Config);
+    if (Found.Caller == nullptr)
+      return Refuse(401, "unknown_credential");
+  }
+  const Route &MatchedRoute = *Found.MatchedRoute;
+  if (RefusingNewRequests || (RefusingNewStreams && MatchedRoute.Streaming))
+    return Refuse(503, "stopping");
+  const WorkspaceId Workspace =
+      Found.Caller != nullptr ? Found.Caller->Name : WorkspaceId();
+  Found.Overloaded =
+      MatchedRoute.Streaming &&
+      Overload.refusesStream(isLeastServed(MatchedRoute, Workspace));
+  return Found.Overloaded ? Refuse(503, "router_overloaded") : Found;
 }
 
 void Traffic::onRequest(
     const std::shared_ptr<http1::ServerExchange> &Exchange) {
   ++Counters.Requests;
   RequestMetadata Metadata = Wire.readRequest(Exchange->Head.Headers);
-  if (!View.Config) {
-    refuseRequest(*Exchange, 503, "no_configuration", Metadata.Attempt);
-    return;
-  }
-  const std::string *Host = Exchange->Head.Headers.find("host");
+  const http1::HeaderList &Headers = Exchange->Head.Headers;
   const std::string_view Target = Exchange->Head.Target;
-  const std::string_view Path = Target.substr(0, Target.find('?'));
-  if (Host == nullptr || Exchange->Head.Headers.count("host") != 1 ||
-      Metadata.Attempt.empty()) {
-    refuseRequest(*Exchange, 400, "bad_request", Metadata.Attempt);
-    return;
-  }
-  const Route *MatchedRoute = View.Config->match(*Host, Path);
-  if (MatchedRoute == nullptr || MatchedRoute->Services.empty()) {
-    refuseRequest(*Exchange, 404, "no_route", Metadata.Attempt);
-    return;
-  }
-  WorkspaceId Workspace;
-  const bool NeedsKey =
-      !View.Config->Workspaces.empty() && !MatchedRoute->Public;
-  if (NeedsKey) {
-    if (!credentialsFresh()) {
-      refuseRequest(*Exchange, 503, "credentials_not_fresh", Metadata.Attempt);
-      return;
-    }
-    const auto *KeyWorkspace =
-        View.Config->findWorkspaceByKey(bearerToken(Exchange->Head.Headers));
-    if (KeyWorkspace == nullptr) {
-      refuseRequest(*Exchange, 401, "unknown_credential", Metadata.Attempt);
-      return;
-    }
-    Workspace = KeyWorkspace->Name;
-  }
-  if (RefusingNewRequests || (RefusingNewStreams && MatchedRoute->Streaming)) {
-    refuseRequest(*Exchange, 503, "stopping", Metadata.Attempt, Workspace);
-    return;
-  }
-  if (MatchedRoute->Streaming &&
-      Overload.refusesStream(isLeastServed(*MatchedRoute, Workspace))) {
+  const bool Readable = Headers.count("host") == 1 && !Metadata.Attempt.empty();
+  const Arrival Found =
+      examine(Readable ? Headers.find("host") : nullptr,
+              Target.substr(0, Target.find('?')),
+              [&Headers](const Configuration &Config) {
+                return Config.findWorkspaceByKey(bearerToken(Headers));
+              });
+  const WorkspaceId Workspace =
+      Found.Caller != nullptr ? Found.Caller->Name : WorkspaceId();
+  if (Found.Overloaded) {
     ++Counters.RefusedForOverload;
     Exchange->closeAfterResponse();
-    refuseRequest(*Exchange, 503, "router_overloaded", Metadata.Attempt,
+  }
+  if (Found.Status != 0) {
+    refuseRequest(*Exchange, Found.Status, Found.Reason, Metadata.Attempt,
                   Workspace);
     return;
   }
@@ -403,8 +441,9 @@
     return;
   }
   const auto Run = std::make_shared<RequestRun>(
-      *this, Exchange, std::move(Metadata), View.Config, *MatchedRoute,
+      *this, Exchange, std::move(Metadata), View.Config, *Found.MatchedRoute,
       Workspace, std::move(Features), IsProbe);
+  Run->Query.Allowed = Homes(*Found.MatchedRoute, Found.Caller);
   Run->start();
 }
 
--- a/src/dataplane/upstream_limits.cpp
+++ b/src/dataplane/upstream_limits.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <utility>
 
 namespace mallowglade::dataplane {
 
@@ -48,11 +49,37 @@
   std::erase_if(Allowances, [this](const auto &Entry) {
     return !Listed.contains(Entry.first);
   });
+  std::erase_if(Caps, [this](const auto &Entry) {
+    return !Listed.contains(Entry.first);
+  });
   std::erase_if(Told, [this](const auto &Entry) {
     return !Listed.contains(Entry.first);
   });
 }
 
+void UpstreamLimits::setCaps(
+    std::unordered_map<UpstreamProcess, RateCap> Current) {
+  const auto Previous = std::exchange(Caps, std::move(Current));
+  std::erase_if(Caps, [this](const auto &Entry) {
+    return !Listed.contains(Entry.first);
+  });
+  for (const auto &[Process, Cap] : Previous)
+    if (!Caps.contains(Process) && Listed.contains(Process))
+      update(Process);
+  for (const auto &[Process, Cap] : Caps) {
+    const auto Known = Previous.find(Process);
+    if (Known == Previous.end() || Known->second.Holders != Cap.Holders)
+      update(Process);
+  }
+}
+
+std::size_t UpstreamLimits::limitedCount() const {
+  return static_cast<std::size_t>(std::count_if(
+      Allowances.begin(), Allowances.end(), [this](const auto &Entry) {
+        return namedLimit(Entry.first).has_value();
+      }));
+}
+
 LimitChange UpstreamLimits::recordResponse(UpstreamProcess Process,
                                            std::optional<RequestRate> Rate,
                                            TimePoint SentAt) {
@@ -61,7 +88,7 @@
     return LimitChange::None;
   const TimePoint Now = Time.now();
   record(Process, {Rate, Rate ? Now : SentAt, true});
-  const auto Current = limitOf(Process);
+  const auto Current = namedLimit(Process);
   const auto Last = Told.find(Process);
   if (!Current) {
     const bool WasTold = Last != Told.end();
@@ -110,10 +137,13 @@
   const std::uint64_t Hash = stableHash(
       {reinterpret_cast<const char *>(&Process.Value), sizeof(Process.Value)},
       Seed);
+  const auto Cap = Caps.find(Process);
+  const bool Capped = Cap != Caps.end();
   const auto Allowance =
       Allowances
           .try_emplace(Process,
-                       RateAllowance(static_cast<double>(Hash) * Scale, Now))
+                       RateAllowance(
+                           Capped ? 0 : static_cast<double>(Hash) * Scale, Now))
           .first;
   const ServiceKey Service = Listed.at(Process);
   std::vector<RateMember> Sharing{{Self, ownDemandOf(Service)}};
@@ -124,6 +154,14 @@
                                        ? RequestRate()
                                        : Demand->second});
   }
+  if (Capped) {
+    for (RateMember &Member : Sharing)
+      Member.Demand = RequestRate();
+    Allowance->second.setShare(rateShare(Cap->second.Resource, *Rate, Sharing,
+                                         Self, Cap->second.Holders),
+                               Now);
+    return;
+  }
   Allowance->second.setShare(rateShare(Process.Value, *Rate, Sharing, Self),
                              Now);
 }
@@ -150,7 +188,7 @@
   std::erase_if(Statements, [this, Now](const auto &Entry) {
     const auto Age = Now - Entry.second.SaidAt;
     const bool Expired = Age > Retention;
-    if (Expired)
+    if (Expired && !Caps.contains(Entry.first))
       Allowances.erase(Entry.first);
     return Expired || (!Entry.second.Rate && Age > EndRetention);
   });
@@ -188,6 +226,15 @@
 
 std::optional<RequestRate>
 UpstreamLimits::limitOf(UpstreamProcess Process) const {
+  const auto Named = namedLimit(Process);
+  const auto Cap = Caps.find(Process);
+  if (Cap == Caps.end())
+    return Named;
+  return Named ? std::min(*Named, Cap->second.Rate) : Cap->second.Rate;
+}
+
+std::optional<RequestRate>
+UpstreamLimits::namedLimit(UpstreamProcess Process) const {
   const auto Found = Statements.find(Process);
   if (Found == Statements.end() || !Found->second.Rate)
     return std::nullopt;
--- a/src/dataplane/upstream_table.cpp
+++ b/src/dataplane/upstream_table.cpp
@@ -81,6 +81,8 @@
                        sameProcess(Current->second.Record, State.Record);
     if (!Ready)
       Unavailable.push_back(State.Record);
+    if (Current == Next.end() || Current->second.Process != State.Process)
+      Stated.forget(State.Process);
   }
   Upstreams = std::move(Next);
   ByService.clear();
@@ -90,10 +92,35 @@
     Listed.emplace(State.Process, serviceKey(State.Record.Service));
   }
   Limits.setListed(std::move(Listed));
+  Cold.setListed(List);
+  applyCold();
   setPeers(PeerLoads);
   return Unavailable;
 }
 
+std::vector<UpstreamRecord>
+UpstreamTable::setEvacuated(const std::set<ZoneId> &Zones) {
+  std::vector<UpstreamRecord> Added;
+  for (auto &[Id, State] : Upstreams) {
+    const bool Evacuated = Zones.contains(State.Record.Zone);
+    if (Evacuated && !State.Evacuated)
+      Added.push_back(State.Record);
+    State.Evacuated = Evacuated;
+  }
+  return Added;
+}
+
+std::size_t UpstreamTable::countEvacuated() const {
+  return static_cast<std::size_t>(
+      std::count_if(Upstreams.begin(), Upstreams.end(),
+                    [](const auto &Entry) { return Entry.second.Evacuated; }));
+}
+
+bool UpstreamTable::isEvacuated(const UpstreamId &Id) const {
+  const auto Found = Upstreams.find(Id);
+  return Found != Upstreams.end() && Found->second.Evacuated;
+}
+
 void UpstreamTable::setPeers(const LoadTable &Sum) {
   if (&Sum != &PeerLoads)
     PeerLoads = Sum;
@@ -190,6 +217,14 @@
   return Counts;
 }
 
+std::size_t UpstreamTable::countSlow() const {
+  constexpr double SlowFactor = 1.25;
+  return static_cast<std::size_t>(
+      std::count_if(Upstreams.begin(), Upstreams.end(), [&](const auto &Entry) {
+        return Stated.workTimeFactor(Entry.second.Process) >= SlowFactor;
+      }));
+}
+
 LoadTable UpstreamTable::ownLoads() {
   constexpr double MinReportedWork = 1;
   LoadTable Table;
--- a/src/http1/server.cpp
+++ b/src/http1/server.cpp
@@ -24,6 +24,20 @@
 
 Http1Server::~Http1Server() { closeAll(); }
 
+void Http1Server::endSlowClients() {
+  while (Limits.MaxUnsentBytes > 0) {
+    ServerConnection *Slow = Unsent.takeExcess(Limits.MaxUnsentBytes);
+    if (Slow == nullptr)
+      return;
+    ++Counters.SlowClients;
+    // The caller of this function may be in the middle of a response.
+    asio::post(Context, [Weak = Slow->weak_from_this()] {
+      if (const auto Connection = Weak.lock())
+        Connection->close();
+    });
+  }
+}
+
 void Http1Server::closeAll() {
   pauseListening();
   const std::vector<ServerConnection *> Connections(OpenConnections.begin(),
--- a/src/http1/server_connection.cpp
+++ b/src/http1/server_connection.cpp
@@ -41,6 +41,7 @@
     return;
   releaseBody();
   markBusy();
+  Server.Unsent.record(this, 0);
   Server.OpenConnections.erase(this);
 }
 
@@ -74,6 +75,7 @@
   // exists.
   releaseBody();
   markBusy();
+  Server.Unsent.record(this, 0);
   Server.OpenConnections.erase(this);
   Timer.cancel();
   std::error_code Ignored;
@@ -289,6 +291,16 @@
   QueuedOutput.append(Data);
   if (WriteBuffer.empty())
     flush();
+  recordUnsent();
+}
+
+void ServerConnection::recordUnsent() {
+  const std::size_t Bytes = QueuedOutput.size() + WriteBuffer.size();
+  if (Closed || (Bytes == 0 && !CountedUnsent))
+    return;
+  CountedUnsent = Bytes > 0;
+  Server.Unsent.record(this, Bytes);
+  Server.endSlowClients();
 }
 
 void ServerConnection::flush() {
@@ -324,6 +336,7 @@
   }
   if (!QueuedOutput.empty())
     flush();
+  recordUnsent();
   if (Closed)
     return;
   if (ActiveExchange &&
--- a/src/scheduling/rate_share.cpp
+++ b/src/scheduling/rate_share.cpp
@@ -49,6 +49,12 @@
 
 RequestRate rateShare(std::uint64_t Resource, RequestRate Rate,
                       const std::vector<RateMember> &Members, RouterKey Self) {
+  return rateShare(Resource, Rate, Members, Self, rateHolders(Rate));
+}
+
+RequestRate rateShare(std::uint64_t Resource, RequestRate Rate,
+                      const std::vector<RateMember> &Members, RouterKey Self,
+                      std::size_t MaxHolders) {
   struct Holder {
     double Score;
     double Weight;
@@ -60,7 +66,7 @@
     const double Weight = std::max(MinDemand, Member.Demand.Value);
     Holders.push_back({score(Resource, Member, Weight), Weight, Member.Key});
   }
-  const std::size_t Count = std::min(Holders.size(), rateHolders(Rate));
+  const std::size_t Count = std::min(Holders.size(), MaxHolders);
   const auto End = Holders.begin() + static_cast<std::ptrdiff_t>(Count);
   std::nth_element(Holders.begin(), End, Holders.end(),
                    [](const Holder &Left, const Holder &Right) {
--- a/tests/support/limit_simulation.hpp
+++ b/tests/support/limit_simulation.hpp
@@ -3,8 +3,20 @@
 #include <mallowglade/dataplane.hpp>
 
 #include <functional>
+#include <optional>
 #include <vector>
 
+/// All upstreams end and come back under the same id, cold.
+struct ColdReturn {
+  std::chrono::milliseconds DownAt{1'500};
+  std::chrono::milliseconds BackAt{3'000};
+  std::chrono::milliseconds ColdTime{3'000};
+  double PerSecond = 7.8;
+  mallowglade::dataplane::ColdUpstreamLimits Limits{1.5, 5};
+  /// Time from the return until a router reads the new registrations.
+  std::function<std::chrono::milliseconds(unsigned Router)> LearnsAfter;
+};
+
 /// A fleet of routers whose upstreams have named limits.
 struct LimitScenario {
   unsigned Routers = 8;
@@ -31,6 +43,7 @@
       Reaches;
   /// Limit of all upstreams at a time, instead of `Limit`; 0 for none.
   std::function<double(std::chrono::milliseconds At)> LimitAt;
+  std::optional<ColdReturn> Return;
 };
 
 /// What the upstreams saw.
@@ -42,6 +55,10 @@
   double PerSecond = 0;
   /// The same in each second from the start.
   std::vector<double> BySecond;
+  /// Most requests that an upstream got in a second, and requests of all
+  /// upstreams a second, while they were cold.
+  double MostInColdSecond = 0;
+  double PerColdSecond = 0;
 };
 
 /// Simulates the routers' use of limited upstreams without a network. Routers
--- a/tests/support/proxy_harness.hpp
+++ b/tests/support/proxy_harness.hpp
@@ -59,6 +59,12 @@
   void stall(std::chrono::milliseconds Duration);
   void sendAsCaller(std::size_t Caller, const std::string &Bytes);
   void closeCaller(std::size_t Caller);
+  /// Leaves what is sent to a caller unread.
+  void stopReading(std::size_t Caller);
+  /// Reads up to so many bytes that have arrived at a caller which has stopped.
+  void readSome(std::size_t Caller, std::size_t Bytes);
+  /// Reads on after a stop.
+  void readOn(std::size_t Caller);
   /// Runs the event loop until a condition holds.
   /// @return false if it does not hold within two seconds
   bool runUntil(const std::function<bool()> &Condition);
@@ -97,6 +103,7 @@
     asio::ip::tcp::socket Socket;
     std::string Received;
     bool Closed = false;
+    bool Stopped = false;
     std::array<char, 16'384> Bytes{};
   };
   void acceptFrom(std::size_t Upstream);
--- a/tests/unit-event-log.cpp
+++ b/tests/unit-event-log.cpp
@@ -41,6 +41,7 @@
   CPPUNIT_TEST_SUITE(EventLogTest);
   CPPUNIT_TEST(linesAreJsonWhateverCallersSend);
   CPPUNIT_TEST(validTextIsLoggedUnchanged);
+  CPPUNIT_TEST(floodOfRequestsDoesNotHideChangesOfState);
   CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -72,6 +73,35 @@
           Text,
           nlohmann::json::parse(lineWith(Text))["request"].get<std::string>());
   }
+
+  // Guards against an overload whose begin is dropped from the log because of
+  // the requests that caused it.
+  void floodOfRequestsDoesNotHideChangesOfState() {
+    constexpr int Requests = 1'000;
+    constexpr int Changes = 40;
+    constexpr double LinesPerSecond = 60;
+    std::array<int, 2> Pipe{};
+    CPPUNIT_ASSERT_EQUAL(0, ::pipe(Pipe.data()));
+    const ManualClock Time;
+    dataplane::EventLog Log(Pipe[1], LinesPerSecond, Time);
+    for (int Index = 0; Index < Requests; ++Index)
+      Log.writeForRequest("request", {{"caller", "10.0.0.1"}});
+    for (int Index = 0; Index < Changes; ++Index)
+      Log.write("overload_begins", {{"delay_ms", std::int64_t(Index)}});
+    Log.flush();
+    std::string Text(1U << 16U, '\0');
+    const ssize_t Size = ::read(Pipe[0], Text.data(), Text.size());
+    ::close(Pipe[0]);
+    ::close(Pipe[1]);
+    CPPUNIT_ASSERT(Size > 0);
+    Text.resize(static_cast<std::size_t>(Size));
+    int Seen = 0;
+    for (std::size_t At = Text.find("overload_begins"); At != std::string::npos;
+         At = Text.find("overload_begins", At + 1))
+      ++Seen;
+    CPPUNIT_ASSERT_EQUAL(Changes, Seen);
+    CPPUNIT_ASSERT(Text.find("log_lines_dropped") != std::string::npos);
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(EventLogTest);
