--- a/tests/standins/standin-model-fleet.cpp
+++ b/tests/standins/standin-model-fleet.cpp
@@ -17,13 +17,21 @@
 //                          another process
 //   {"entry": [K, V]}      an entry of another writer: the text V under key K
 //   {"encoded_entry": [K, V]}  the same, V in place of the Base64 text
+//   {"spread": N}          every Nth replica is in zone-b, the others in zone-a
+//   {"evacuate": Z}        the operator evacuates a zone
+//   {"take_back": Z}       the operator takes it back
+//   {"cold_per_s": R}      replicas that crash come back cold and then take R
+//                          requests a second
 //   {"copy": true}         keeps a copy of the store
 //   {"restore": MS}        the store goes back to the copy and a new era
 //   begins;
 //                          operator and replicas write again after MS
 // The answer names the operator's newest configuration version.
 // GET /runs returns how often each attempt id has run, GET /crashes how many
-// requests have crashed a replica.
+// requests have crashed a replica, GET /late how many requests reached a zone
+// that was evacuated, and how many a cold replica beyond its rate.
+
+#include "arrival_checks.hpp"
 
 #include <mallowglade/detail/platform/base64.hpp>
 
@@ -35,6 +43,7 @@
 #include <chrono>
 #include <map>
 #include <mutex>
+#include <optional>
 #include <set>
 #include <thread>
 
@@ -56,6 +65,8 @@
 constexpr std::chrono::milliseconds EventPause{30};
 /// Time after which a replica that has crashed is back.
 constexpr std::chrono::milliseconds CrashedFor{1'500};
+/// Time for which a replica that is back is cold.
+constexpr std::chrono::milliseconds ColdFor{3'000};
 
 struct Entry {
   std::string Value;
@@ -188,7 +199,7 @@
           {"service", "pool"}};
 }
 
-json configuration(int Version, const json &Keys) {
+json configuration(int Version, const json &Keys, double ColdPerSecond) {
   return {
       {"version", Version},
       {"routes",
@@ -197,7 +208,8 @@
       {"services",
        {{{"name", "pool"},
          {"health_path", "/healthz"},
-         {"max_connections", 100}}}},
+         {"max_connections", 100},
+         {"cold_per_s", ColdPerSecond}}}},
       {"tenants", {{{"name", "desk"}, {"api_keys", Keys}}}},
       {"limits",
        {{"max_header_bytes", 16384},
@@ -208,8 +220,9 @@
 
 class Replicas {
 public:
-  Replicas(Store &Registry, int FirstPort, int Count, int Offset)
-      : Registry(Registry), Offset(Offset) {
+  Replicas(Store &Registry, ArrivalChecks &Checks, int FirstPort, int Count,
+           int Offset)
+      : Registry(Registry), Checks(Checks), Offset(Offset) {
     for (int At = 0; At < Count; ++At)
       start(At, FirstPort + At);
   }
@@ -223,9 +236,16 @@
         "servers/" + idOf(Number),
         {{"service", "pool"},
          {"address", "127.0.0.1:" + std::to_string(Ports[Number] + Offset)},
-         {"zone", "zone-a"},
+         {"zone", zoneOf(Number)},
          {"slots", 8},
-         {"state", State}});
+         {"state", State},
+         {"cold_remaining_ms", coldRemaining(Number).count()}});
+  }
+
+  /// @param Every number of replicas of which one is in the second zone
+  void spread(unsigned Every) {
+    SpreadEvery = Every;
+    reportAll();
   }
 
   /// Registers all replicas again, in the state that they are in. Former
@@ -262,6 +282,27 @@
   }
 
 private:
+  std::string zoneOf(int Number) const {
+    const unsigned Every = SpreadEvery;
+    return Every != 0 && static_cast<unsigned>(Number) % Every == Every - 1
+               ? "zone-b"
+               : "zone-a";
+  }
+  std::optional<ArrivalChecks::Clock::time_point> coldUntil(int Number) {
+    const std::lock_guard<std::mutex> Lock(Mutex);
+    const auto Found = ColdUntil.find(Number);
+    return Found == ColdUntil.end() ? std::nullopt
+                                    : std::optional(Found->second);
+  }
+  std::chrono::milliseconds coldRemaining(int Number) {
+    const auto Until = coldUntil(Number);
+    return Until
+               ? std::max(std::chrono::milliseconds(0),
+                          std::chrono::duration_cast<std::chrono::milliseconds>(
+                              *Until - ArrivalChecks::Clock::now()))
+               : std::chrono::milliseconds(0);
+  }
+
   void start(int Number, int Port) {
     Ports[Number] = Port;
     auto Server = std::make_shared<httplib::Server>();
@@ -320,6 +361,10 @@
       Former->stop();
       std::this_thread::sleep_for(CrashedFor);
       Registry.remove("servers/" + Id);
+      if (Checks.coldRate() > 0) {
+        const std::lock_guard<std::mutex> Lock(Mutex);
+        ColdUntil[Number] = ArrivalChecks::Clock::now() + ColdFor;
+      }
       start(Number, Ports[Number]);
     }).detach();
   }
@@ -345,6 +390,9 @@
       Response.status = 421;
       return;
     }
+    // While the store is down, routers cannot learn of an evacuation.
+    if (!Registry.Down)
+      Checks.recordArrival(Number, zoneOf(Number), coldUntil(Number));
     {
       const std::lock_guard<std::mutex> Lock(Mutex);
       Runs[Id] = Runs.value(Id, 0) + 1;
@@ -407,8 +455,11 @@
   }
 
   Store &Registry;
+  ArrivalChecks &Checks;
   int Offset;
   std::mutex Mutex;
+  std::atomic<unsigned> SpreadEvery{0};
+  std::map<int, ArrivalChecks::Clock::time_point> ColdUntil;
   std::map<int, int> Ports;
   std::map<int, std::string> States;
   std::map<int, unsigned> Generations;
@@ -492,14 +543,23 @@
   std::mutex OperatorMutex;
   int Version = 1;
   json Keys = json::array({"key"});
+  ArrivalChecks Checks;
+  std::set<std::string> Evacuated;
   const auto WriteConfiguration = [&] {
-    Registry.put("op/config", configuration(Version, Keys));
+    Registry.put("op/config", configuration(Version, Keys, Checks.coldRate()));
+  };
+  const auto SetEvacuated = [&](const std::string &Zone, bool Now) {
+    const std::string Key = "op/evacuate/" + Zone;
+    if (Now)
+      Registry.putBytes(Key, "", false);
+    else
+      Registry.remove(Key);
   };
   WriteConfiguration();
   Registry.put("servers/foreign", json("not an upstream"));
-  Replicas Pool(Registry, std::atoi(Arguments[2]), std::atoi(Arguments[3]),
-                Count > WithoutOffset ? std::atoi(Arguments[WithoutOffset])
-                                      : 0);
+  Replicas Pool(
+      Registry, Checks, std::atoi(Arguments[2]), std::atoi(Arguments[3]),
+      Count > WithoutOffset ? std::atoi(Arguments[WithoutOffset]) : 0);
   httplib::Server Server;
   limitConnections(Server, StoreConnections);
   serveStore(Server, Registry);
@@ -514,9 +574,29 @@
         std::this_thread::sleep_for(std::chrono::milliseconds(Pause));
         const std::lock_guard<std::mutex> RewriteLock(OperatorMutex);
         WriteConfiguration();
+        for (const char *Zone : {"zone-a", "zone-b"})
+          SetEvacuated(Zone, Evacuated.contains(Zone));
+        Checks.storeReturned();
         Pool.reportAll();
       }).detach();
     }
+    if (Order.contains("spread"))
+      Pool.spread(Order["spread"].get<unsigned>());
+    if (Order.contains("cold_per_s")) {
+      Checks.setColdRate(Order["cold_per_s"].get<double>());
+      ++Version;
+      WriteConfiguration();
+    }
+    for (const char *Change : {"evacuate", "take_back"})
+      if (Order.contains(Change)) {
+        const bool Now = std::string_view(Change) == "evacuate";
+        const std::string Zone = Order[Change];
+        SetEvacuated(Zone, Now);
+        if (Now && Evacuated.insert(Zone).second)
+          Checks.evacuate(Zone);
+        if (!Now && Evacuated.erase(Zone) > 0)
+          Checks.takeBack(Zone);
+      }
     if (Order.contains("keys")) {
       ++Version;
       Keys = Order["keys"];
@@ -528,8 +608,11 @@
       Registry.putBytes(Order["encoded_entry"][0], Order["encoded_entry"][1],
                         true);
     Reply.set_content(json{{"version", Version}}.dump(), "application/json");
-    if (Order.contains("down"))
-      Registry.Down = Order["down"].get<bool>();
+    if (Order.contains("down")) {
+      const bool WasDown = Registry.Down.exchange(Order["down"].get<bool>());
+      if (WasDown && !Registry.Down)
+        Checks.storeReturned();
+    }
     if (Order.contains("unframed"))
       Pool.sendUnframed(Order["unframed"].get<unsigned>());
     if (Order.contains("break_off"))
@@ -548,5 +631,10 @@
       "/crashes", [&](const httplib::Request &, httplib::Response &Reply) {
         Reply.set_content(std::to_string(Pool.crashes()), "application/json");
       });
+  Server.Get("/late", [&](const httplib::Request &, httplib::Response &Reply) {
+    const auto [Late, TooMany] = Checks.counts();
+    Reply.set_content(json{{"evacuated", Late}, {"cold", TooMany}}.dump(),
+                      "application/json");
+  });
   return Server.listen("127.0.0.1", std::atoi(Arguments[1])) ? 0 : 1;
 }
