Give settings that only some deployments have as a merge patch

The patch is applied again on SIGHUP. Result: unit-node-settings passes with a case for the patch; without the variable the settings are those of the template.

--- a/include/mallowglade/detail/dataplane/node.hpp
+++ b/include/mallowglade/detail/dataplane/node.hpp
@@ -12,15 +12,21 @@
 using StoreFactory = std::function<std::unique_ptr<FleetStore>(
     asio::io_context &Context, const NodeSettings &Settings)>;
 
+/// @brief Where the settings of a router were read from.
+struct SettingsSource {
+  std::string File;
+  /// JSON merge patch of the file's contents; may be empty.
+  std::string Patch;
+};
+
 /// @brief Runs a router of the data plane until a signal stops it.
 /// @param Settings settings of the router
-/// @param SettingsFile file that is read and checked again on SIGHUP
+/// @param Source read and checked again on SIGHUP
 /// @param Wire mapping of header fields; outlives the call
 /// @param MakeStore creates the store client
 /// @return success after a shutdown, or the error that prevented the start
 Result<Success> runNode(const NodeSettings &Settings,
-                        const std::string &SettingsFile,
-                        const WireProtocol &Wire,
+                        const SettingsSource &Source, const WireProtocol &Wire,
                         const StoreFactory &MakeStore);
 
 } // namespace mallowglade::dataplane
--- a/include/mallowglade/detail/dataplane/node_settings.hpp
+++ b/include/mallowglade/detail/dataplane/node_settings.hpp
@@ -70,7 +70,10 @@
 
 /// @brief Parses and validates the settings.
 /// @param Text JSON text
+/// @param Patch JSON merge patch of the settings; may be empty
 /// @return the settings, or the first error with the path of its key
-Result<NodeSettings> parseNodeSettings(const std::string &Text);
+/// @sa RFC 7396
+Result<NodeSettings> parseNodeSettings(const std::string &Text,
+                                       const std::string &Patch = {});
 
 } // namespace mallowglade::dataplane
--- a/src/cli/node_command.cpp
+++ b/src/cli/node_command.cpp
@@ -34,6 +34,7 @@
 ExitCode runNodeCommand(std::vector<std::string> Arguments) {
   CommandParser Parser(std::move(Arguments));
   const char *DefaultPath = std::getenv(platform::SettingsVariable);
+  const char *Patch = std::getenv(platform::SettingsPatchVariable);
   TCLAP::ValueArg<std::string> File(
       "s", "settings", "settings file (JSON)", false,
       DefaultPath != nullptr ? DefaultPath : "", "FILE", Parser.commandLine());
@@ -44,7 +45,9 @@
     fmt::print(stderr, "mallowglade: cannot read {}\n", File.getValue());
     return ExitCode::Failed;
   }
-  const auto Settings = dataplane::parseNodeSettings(Text);
+  const dataplane::SettingsSource Source{File.getValue(),
+                                         Patch != nullptr ? Patch : ""};
+  const auto Settings = dataplane::parseNodeSettings(Text, Source.Patch);
   if (!isOk(Settings)) {
     fmt::print(stderr, "mallowglade: {}\n", toString(errorOf(Settings)));
     return ExitCode::Failed;
@@ -52,7 +55,7 @@
   signal(SIGPIPE, SIG_IGN);
   const platform::PlatformWire Wire;
   const Result<Success> Outcome =
-      dataplane::runNode(valueOf(Settings), File.getValue(), Wire, makeStore);
+      dataplane::runNode(valueOf(Settings), Source, Wire, makeStore);
   if (isOk(Outcome))
     return ExitCode::Ok;
   fmt::print(stderr, "mallowglade: {}\n", toString(errorOf(Outcome)));
--- a/src/dataplane/node.cpp
+++ b/src/dataplane/node.cpp
@@ -49,9 +49,9 @@
 /// that they share.
 class Node final : public TrafficTaskQueue {
 public:
-  Node(const NodeSettings &Settings, std::string SettingsFile,
+  Node(const NodeSettings &Settings, SettingsSource Source,
        const WireProtocol &Wire, const StoreFactory &MakeStore)
-      : Settings(Settings), SettingsFile(std::move(SettingsFile)),
+      : Settings(Settings), Source(std::move(Source)),
         ControlRandom(systemSeed()), TrafficRandom(systemSeed()),
         Log(STDOUT_FILENO, MaxLogLinesPerSecond, Time),
         Store(MakeStore(ControlContext, Settings)),
@@ -105,10 +105,11 @@
   }
 
   void reload() {
-    std::ifstream File(SettingsFile);
+    std::ifstream File(Source.File);
     std::ostringstream Text;
     Text << File.rdbuf();
-    const Result<NodeSettings> Read = parseNodeSettings(Text.str());
+    const Result<NodeSettings> Read =
+        parseNodeSettings(Text.str(), Source.Patch);
     // The file is only checked; new settings take effect when the process is
     // restarted.
     Log.write("reload", {{"outcome", isOk(Read) ? std::string("accepted")
@@ -174,7 +175,7 @@
   }
 
   const NodeSettings &Settings;
-  std::string SettingsFile;
+  SettingsSource Source;
   BootTimeClock Time;
   SeededRandom ControlRandom;
   SeededRandom TrafficRandom;
@@ -193,10 +194,9 @@
 } // namespace
 
 Result<Success> runNode(const NodeSettings &Settings,
-                        const std::string &SettingsFile,
-                        const WireProtocol &Wire,
+                        const SettingsSource &Source, const WireProtocol &Wire,
                         const StoreFactory &MakeStore) {
-  Node Router(Settings, SettingsFile, Wire, MakeStore);
+  Node Router(Settings, Source, Wire, MakeStore);
   return Router.run();
 }
 
--- a/src/dataplane/node_settings.cpp
+++ b/src/dataplane/node_settings.cpp
@@ -112,10 +112,17 @@
 
 } // namespace
 
-Result<NodeSettings> parseNodeSettings(const std::string &Text) {
-  const Result<nlohmann::json> Document = parseJson(Text);
+Result<NodeSettings> parseNodeSettings(const std::string &Text,
+                                       const std::string &Patch) {
+  Result<nlohmann::json> Document = parseJson(Text);
   if (!isOk(Document))
     return errorOf(Document);
+  if (!Patch.empty()) {
+    const Result<nlohmann::json> Changes = parseJson(Patch);
+    if (!isOk(Changes))
+      return errorOf(Changes);
+    std::get<nlohmann::json>(Document).merge_patch(valueOf(Changes));
+  }
   std::optional<Error> FirstError;
   NodeSettings Settings;
   JsonReader Root(valueOf(Document), "", FirstError);
--- a/tests/unit-node-settings.cpp
+++ b/tests/unit-node-settings.cpp
@@ -30,6 +30,7 @@
   CPPUNIT_TEST_SUITE(NodeSettingsTest);
   CPPUNIT_TEST(holdFollowsTheCredentialFreshness);
   CPPUNIT_TEST(invalidValuesAreRejected);
+  CPPUNIT_TEST(patchChangesTheSettings);
   CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -59,6 +60,20 @@
     CPPUNIT_ASSERT(!IsAccepted("restored_store_hold", 2'000));
     CPPUNIT_ASSERT(!isOk(parseNodeSettings("{")));
   }
+
+  // Guards against a patch that replaces the other members of an object, or is
+  // not validated.
+  void patchChangesTheSettings() {
+    const std::string Text = settings().dump();
+    const auto Patched = parseNodeSettings(
+        Text, R"({"evacuation_ms": 5000, "limits": {"cores": 2}})");
+    CPPUNIT_ASSERT(isOk(Patched));
+    CPPUNIT_ASSERT(valueOf(Patched).EvacuationTime == Milliseconds(5'000));
+    CPPUNIT_ASSERT_EQUAL(2U, valueOf(Patched).Processor.Cores);
+    CPPUNIT_ASSERT_EQUAL(std::size_t(4'100), valueOf(Patched).Descriptors);
+    for (const char *Wrong : {"{", "[]", R"({"limits": {"cores": 0}})"})
+      CPPUNIT_ASSERT_MESSAGE(Wrong, !isOk(parseNodeSettings(Text, Wrong)));
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(NodeSettingsTest);
