Reserve room for the least served in a pool that does less than stated

Cause: a workspace counted as backlogged only if it asked for a quarter of a share of the stated capacity. Where the pool does a fraction of that, no demand is as large, so nothing was reserved for anyone, and a workspace whose callers all use one of 18 routers was crowded out. Limits of engines follow from the stated capacity, too, so engines seemed to have capacity to spare.

Change: while a tenth of the admitted tokens is unmet, a backlog is judged by a fair share of what is admitted. While less than half of the stated capacity is admitted as well, no engine counts as having spare capacity. Otherwise decisions are as before.

--- a/include/mallowglade/detail/dataplane/fair_share.hpp
+++ b/include/mallowglade/detail/dataplane/fair_share.hpp
@@ -76,6 +76,10 @@
   /// @brief Checks whether a workspace above its share may use spare capacity.
   /// @return false while a backlogged workspace is served clearly less
   bool mayExceedShare(WorkspaceKey Key);
+  /// @brief Tells whether the pool leaves requests unmet though it does far
+  ///   less than stated. Limits of engines that follow from the stated capacity
+  ///   do not show then what an engine can spare.
+  bool poolExhausted() const { return Exhausted; }
   /// @return tokens admitted in the window divided by the share; 0 if shares
   ///   are disabled
   double shareFill(WorkspaceKey Key);
@@ -107,6 +111,7 @@
   UsageTable PeerUsage;
   double Level = 0;
   bool CapacityReduced = false;
+  bool Exhausted = false;
   /// Smallest fraction of the share admitted for any backlogged workspace.
   double LeastFill = 0;
 };
--- a/src/dataplane/admission.cpp
+++ b/src/dataplane/admission.cpp
@@ -280,7 +280,7 @@
   // here.
   const bool ReservedForLeastServed =
       Request.HasWorkspace && !Request.PreviouslySent &&
-      !Choosing.hasSpareCapacity(*Choice.Upstream);
+      (Shares.poolExhausted() || !Choosing.hasSpareCapacity(*Choice.Upstream));
   if (ReservedForLeastServed && !Shares.mayExceedShare(Request.ShareKey)) {
     Decision.Cause = AdmissionDecision::WaitCause::ReservedForLeastServed;
     return Decision;
--- a/src/dataplane/fair_share.cpp
+++ b/src/dataplane/fair_share.cpp
@@ -8,14 +8,22 @@
 namespace {
 
 /// Fraction of its admitted tokens that the unmet ones of a workspace exceed if
-/// it counts as backlogged.
+/// it counts as backlogged; also those of all workspaces together.
 constexpr double UnmetFraction = 0.1;
-/// Fraction of the share that a workspace has to demand to count as backlogged;
-/// a single request in flight is no backlog.
+/// Fraction of a fair share that a workspace has to demand to count as
+/// backlogged; a single request in flight is no backlog.
 constexpr double BacklogFraction = 0.25;
 /// Factor by which the usage of a workspace may exceed that of the least served
 /// one; allows for the delay of the peers' reports.
 constexpr double ExcessFactor = 1.15;
+/// Fraction of its stated capacity below which a pool that leaves requests
+/// unmet counts as exhausted.
+constexpr double ExhaustedFraction = 0.5;
+
+bool leavesUnmet(const WorkspaceUsage &Usage) {
+  return Usage.Unmet * (FairShare::Window / FairShare::BacklogWindow) >
+         UnmetFraction * Usage.Admitted;
+}
 
 } // namespace
 
@@ -94,6 +102,7 @@
 void FairShare::update(double TokensPerSecond) {
   if (TokensPerSecond <= 0) {
     Level = 0;
+    Exhausted = false;
     return;
   }
   UsageTable FleetUsage = ownUsage();
@@ -104,21 +113,25 @@
   }
   std::vector<double> Demands;
   Demands.reserve(FleetUsage.size());
-  double Admitted = 0;
+  WorkspaceUsage Total;
   for (const auto &[Key, Usage] : FleetUsage) {
     Demands.push_back(Usage.Demand);
-    Admitted += Usage.Admitted;
+    Total.Admitted += Usage.Admitted;
+    Total.Unmet += Usage.Unmet;
   }
   // With cached prompts the pool can exceed its stated capacity.
-  const double Capacity =
-      std::max(Admitted,
-               TokensPerSecond * std::chrono::duration<double>(Window).count());
-  Level = maxMinLevel(std::move(Demands), Capacity);
+  const double Stated =
+      TokensPerSecond * std::chrono::duration<double>(Window).count();
+  Level = maxMinLevel(Demands, std::max(Total.Admitted, Stated));
+  const bool LeavesUnmet = leavesUnmet(Total);
+  Exhausted = LeavesUnmet && Total.Admitted < ExhaustedFraction * Stated;
+  // Shares of a stated capacity that the pool does not have are larger than any
+  // demand.
+  const double BacklogLevel =
+      LeavesUnmet ? maxMinLevel(std::move(Demands), Total.Admitted) : Level;
   LeastFill = std::numeric_limits<double>::infinity();
   for (const auto &[Key, Usage] : FleetUsage)
-    if (Usage.Unmet * (Window / BacklogWindow) >
-            UnmetFraction * Usage.Admitted &&
-        Usage.Demand > BacklogFraction * Level)
+    if (leavesUnmet(Usage) && Usage.Demand > BacklogFraction * BacklogLevel)
       LeastFill = std::min(LeastFill, Usage.Admitted / Level);
 }
 
--- a/tests/unit-dataplane-backlog.cpp
+++ b/tests/unit-dataplane-backlog.cpp
@@ -81,6 +81,7 @@
   CPPUNIT_TEST(requestThatFoundRoomIsNoBacklog);
   CPPUNIT_TEST(requestThatNoUpstreamTakesIsNoBacklog);
   CPPUNIT_TEST(limitDoesNotRefuseAfterTheQueueTime);
+  CPPUNIT_TEST(exhaustedPoolHasNoSpareCapacity);
   CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -175,6 +176,30 @@
     Router.Queue.expire();
     CPPUNIT_ASSERT(Request->Refused);
   }
+
+  // Guards against a workspace that is crowded out at an engine that has room
+  // by limits of a stated capacity, while the pool does less than half of that.
+  void exhaustedPoolHasNoSpareCapacity() {
+    TestRouter Router;
+    Router.setRunning(4);
+    const WorkspaceUsage LeastServed{0.4 * WindowTokens, 0.02 * WindowTokens,
+                                     0.2 * WindowTokens};
+    Router.Shares.setPeers(
+        {{Gone, LeastServed},
+         {Steady,
+          {0.5 * WindowTokens, 0.2 * WindowTokens, 0.1 * WindowTokens}}});
+    Router.Shares.update(TokensPerSecond);
+    const auto Request = Router.submit(Steady);
+    CPPUNIT_ASSERT(!Request->Placed && !Request->Refused);
+    CPPUNIT_ASSERT(Router.submit(Gone)->Placed);
+    // A pool that does what is stated has the capacity that its limits show.
+    Router.Shares.setPeers(
+        {{Gone, LeastServed},
+         {Steady, {WindowTokens, 0.58 * WindowTokens, 0.1 * WindowTokens}}});
+    Router.Shares.update(TokensPerSecond);
+    Router.Queue.dispatch();
+    CPPUNIT_ASSERT(Request->Placed);
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(BacklogTest);
