Count owed tokens of simulated requests without a floating loop variable

Cause: the linter rejects a floating-point loop counter in unit-dataplane-exhausted-pool.

Conclusion: no decision changes.

--- a/tests/unit-dataplane-exhausted-pool.cpp
+++ b/tests/unit-dataplane-exhausted-pool.cpp
@@ -74,7 +74,8 @@
     const Demand &Asked = Demands[Workspace];
     double &Owed = Arriving[Workspace];
     Owed += Asked.TokensPerSecond * seconds(Step);
-    for (; Owed >= Asked.RequestTokens; Owed -= Asked.RequestTokens) {
+    while (Owed >= Asked.RequestTokens) {
+      Owed -= Asked.RequestTokens;
       const std::size_t Router = Asked.AtOneRouter ? 0 : Random.below(Routers);
       Shares[Router]->recordDemand(WorkspaceKey(Workspace),
                                    Asked.RequestTokens);
