Open rates gradually after the end or a raise of a limit

Cause: a router dropped a limit, or followed a higher one, as soon as it heard so. All routers then sent at once what they had held back, to an upstream that was short of capacity a moment before. A response that was written before the end could also bring the limit back.

Change: after an end or a raise, the rate of the whole fleet starts at what it was and doubles each 500 ms, as for cold upstreams (openingRate); after an end it is open after 2 s. Routers that knew no limit learn the open rate from the new part limit_openings of reports. While a rate opens after an end, a response to a request older than the one that showed the end does not bring the same or a higher limit back.

--- a/include/mallowglade/detail/dataplane/cold_upstreams.hpp
+++ b/include/mallowglade/detail/dataplane/cold_upstreams.hpp
@@ -123,8 +123,8 @@
   /// @return what has changed since the last call
   std::vector<ColdChange> takeChanges();
 
-  static constexpr Milliseconds OpeningTime{2'000};
-  static constexpr Milliseconds DoublingTime{500};
+  static constexpr Milliseconds OpeningTime = RateOpeningTime;
+  static constexpr Milliseconds DoublingTime = RateDoublingTime;
   /// Longest time from the last failed connection of any router to the return
   /// of a process, given the back-off after failures.
   static constexpr Milliseconds ReturnTime{2'000};
--- a/include/mallowglade/detail/dataplane/upstream_limits.hpp
+++ b/include/mallowglade/detail/dataplane/upstream_limits.hpp
@@ -27,6 +27,10 @@
   /// nothing of the process, such as one that has just started: it would seem
   /// newer than it is each time it is passed on.
   bool Direct = true;
+  /// Requests per second at which all routers together start while the rate
+  /// opens after the end or a raise of the limit, for routers that did not know
+  /// the limit; nothing if it does not open.
+  std::optional<RequestRate> Opening;
 };
 
 /// @brief Limits by process.
@@ -62,9 +66,11 @@
 /// A limit is for the whole fleet, so routers tell each other the latest
 /// statement of each process and their own demand, and `rateShare` divides the
 /// limit. A limit belongs to a process: it ends when a response no longer
-/// names it, and with the process. A cap is known by all routers at once and
-/// must hold from that moment, before they know each other's demand; so it is
-/// divided equally, and begins with an empty allowance.
+/// names it, and with the process. After its end, and after a raise, the rate
+/// opens from what it was: all routers hold requests back for an upstream that
+/// was short of capacity a moment ago. A cap is known by all routers at once
+/// and must hold from that moment, before they know each other's demand; so it
+/// is divided equally, and begins with an empty allowance.
 class UpstreamLimits {
 public:
   /// @param Seed differs between routers and starts of a router
@@ -92,7 +98,7 @@
   /// @return true if any listed process has a limit
   bool any() const { return !Allowances.empty(); }
   /// @return rate of a process for the whole fleet, the smaller one of what it
-  ///   named and its cap, or nothing
+  ///   named, or what is open already, and its cap, or nothing
   std::optional<RequestRate> limitOf(UpstreamProcess Process) const;
   /// @return this router's share of the limit of a process, or nothing
   std::optional<RequestRate> shareOf(UpstreamProcess Process) const;
@@ -131,11 +137,23 @@
     double Longer = 0;
     TimePoint DecayedAt{};
   };
+  /// A rate that opens.
+  struct Opening {
+    RequestRate From;
+    TimePoint Since;
+  };
   /// @return limit that a process named, or nothing
   std::optional<RequestRate> namedLimit(UpstreamProcess Process) const;
+  /// @return the same, or what is open already after its end or a raise
+  std::optional<RequestRate> openRate(UpstreamProcess Process) const;
+  /// @return true if a response that names a limit was probably written before
+  ///   the limit ended
+  bool isOutdated(UpstreamProcess Process, RequestRate Rate,
+                  TimePoint SentAt) const;
   /// @param Heard true if another router has only heard of the statement
+  /// @param Open rate that is open at another router
   void record(UpstreamProcess Process, const Statement &Latest,
-              bool Heard = false);
+              bool Heard = false, std::optional<RequestRate> Open = {});
   /// @brief Creates, ends and shares allowances as the statements say.
   void update(UpstreamProcess Process);
   /// @brief Divides all limits again.
@@ -148,6 +166,7 @@
   std::uint64_t Seed;
   std::unordered_map<UpstreamProcess, ServiceKey> Listed;
   std::map<UpstreamProcess, Statement> Statements;
+  std::unordered_map<UpstreamProcess, Opening> Openings;
   std::unordered_map<UpstreamProcess, RateCap> Caps;
   std::unordered_map<UpstreamProcess, RateAllowance> Allowances;
   /// Values that `recordResponse` has told of.
--- a/include/mallowglade/detail/scheduling/rate_share.hpp
+++ b/include/mallowglade/detail/scheduling/rate_share.hpp
@@ -15,6 +15,14 @@
 /// Smallest limit that is followed; a lower one would never be found ended.
 inline constexpr RequestRate MinRequestRate{0.1};
 
+/// Time after which a rate that opens is no longer held back.
+inline constexpr Milliseconds RateOpeningTime{2'000};
+/// Time in which a rate that opens doubles.
+inline constexpr Milliseconds RateDoublingTime{500};
+
+/// @return rate that opens from `From`, a time after it began to
+RequestRate openingRate(RequestRate From, TimePoint::duration Since);
+
 /// @brief A router that takes part in the division of a rate.
 struct RateMember {
   RouterKey Key;
--- a/src/dataplane/cold_upstreams.cpp
+++ b/src/dataplane/cold_upstreams.cpp
@@ -236,10 +236,8 @@
                     RateCap{Times->Cap.Rate, Times->Cap.Holders, Resource});
       continue;
     }
-    const double Doublings = std::chrono::duration<double>(SinceWarm) /
-                             std::chrono::duration<double>(DoublingTime);
-    const RequestRate Rate(std::max(Times->Cap.Rate, MinRequestRate).Value *
-                           std::exp2(Doublings));
+    const RequestRate Rate =
+        openingRate(std::max(Times->Cap.Rate, MinRequestRate), SinceWarm);
     Rates.emplace(Process, RateCap{Rate, rateHolders(Rate), Resource});
   }
   return Rates;
--- a/src/dataplane/peer_message.cpp
+++ b/src/dataplane/peer_message.cpp
@@ -49,6 +49,10 @@
 /// Process, requests per second or a negative number for no limit, age in
 /// milliseconds, whether the statement is a direct one.
 using LimitRow = std::tuple<std::uint64_t, float, std::uint32_t, bool>;
+/// Rates of limits that open.
+constexpr const char *LimitOpeningsPart = "limit_openings";
+/// Process, requests per second.
+using OpeningRow = std::tuple<std::uint64_t, float>;
 constexpr const char *ColdPart = "cold";
 /// Process, remaining time and age in milliseconds.
 using ColdRow = std::tuple<std::uint64_t, std::uint32_t, std::uint32_t>;
@@ -130,11 +134,16 @@
 /// Appends the named parts that are not empty.
 void packParts(msgpack::sbuffer &Buffer, const PeerReport &Report) {
   std::vector<LimitRow> Limits;
-  for (const auto &[Process, Limit] : Report.Limits)
+  std::vector<OpeningRow> Openings;
+  for (const auto &[Process, Limit] : Report.Limits) {
     Limits.emplace_back(
         Process.Value,
         Limit.Rate ? static_cast<float>(Limit.Rate->Value) : -1.0F,
         toUint32(static_cast<double>(Limit.Age.count())), Limit.Direct);
+    if (Limit.Opening)
+      Openings.emplace_back(Process.Value,
+                            static_cast<float>(Limit.Opening->Value));
+  }
   std::vector<std::vector<DemandRow>> MemberDemand;
   bool AnyDemand = false;
   for (const ZoneMember &Member : Report.Members) {
@@ -145,6 +154,8 @@
   msgpack::zone Zone;
   if (!Limits.empty())
     Parts.emplace(LimitsPart, msgpack::object(Limits, Zone));
+  if (!Openings.empty())
+    Parts.emplace(LimitOpeningsPart, msgpack::object(Openings, Zone));
   if (Report.Evacuated)
     Parts.emplace(
         EvacuatedPart,
@@ -219,6 +230,12 @@
       Limit.Direct = Direct;
       Report.Limits.emplace(UpstreamProcess(Process), Limit);
     }
+  if (const auto Found = Parts.find(LimitOpeningsPart); Found != Parts.end())
+    for (const auto &[Process, Rate] :
+         Found->second.as<std::vector<OpeningRow>>())
+      if (const auto Limit = Report.Limits.find(UpstreamProcess(Process));
+          Limit != Report.Limits.end() && std::isfinite(Rate) && Rate >= 0)
+        Limit->second.Opening = RequestRate(Rate);
   if (const auto Found = Parts.find(ColdPart); Found != Parts.end())
     for (const auto &[Process, Remaining, Age] :
          Found->second.as<std::vector<ColdRow>>())
--- a/src/dataplane/upstream_limits.cpp
+++ b/src/dataplane/upstream_limits.cpp
@@ -31,30 +31,27 @@
                  Milliseconds SinceReceived) {
   for (const auto &[Process, Reported] : Other) {
     const Milliseconds Age = Reported.Age + SinceReceived;
-    const auto [Found, IsNew] = Into.try_emplace(
-        Process, ReportedLimit{Reported.Rate, Age, Reported.Direct});
+    const ReportedLimit Aged{Reported.Rate, Age, Reported.Direct,
+                             Reported.Opening};
+    const auto [Found, IsNew] = Into.try_emplace(Process, Aged);
     ReportedLimit &Known = Found->second;
     if (!IsNew &&
         std::pair(!Reported.Direct, Age) < std::pair(!Known.Direct, Known.Age))
-      Known = {Reported.Rate, Age, Reported.Direct};
+      Known = Aged;
   }
 }
 
 void UpstreamLimits::setListed(
     std::unordered_map<UpstreamProcess, ServiceKey> Current) {
   Listed = std::move(Current);
-  std::erase_if(Statements, [this](const auto &Entry) {
+  const auto IsGone = [this](const auto &Entry) {
     return !Listed.contains(Entry.first);
-  });
-  std::erase_if(Allowances, [this](const auto &Entry) {
-    return !Listed.contains(Entry.first);
-  });
-  std::erase_if(Caps, [this](const auto &Entry) {
-    return !Listed.contains(Entry.first);
-  });
-  std::erase_if(Told, [this](const auto &Entry) {
-    return !Listed.contains(Entry.first);
-  });
+  };
+  std::erase_if(Statements, IsGone);
+  std::erase_if(Openings, IsGone);
+  std::erase_if(Allowances, IsGone);
+  std::erase_if(Caps, IsGone);
+  std::erase_if(Told, IsGone);
 }
 
 void UpstreamLimits::setCaps(
@@ -86,6 +83,8 @@
   const auto Known = Statements.find(Process);
   if (!Rate && (Known == Statements.end() || !Known->second.Rate))
     return LimitChange::None;
+  if (Rate && isOutdated(Process, *Rate, SentAt))
+    return LimitChange::None;
   const TimePoint Now = Time.now();
   record(Process, {Rate, Rate ? Now : SentAt, true});
   const auto Current = namedLimit(Process);
@@ -109,8 +108,18 @@
   return LimitChange::Changes;
 }
 
+bool UpstreamLimits::isOutdated(UpstreamProcess Process, RequestRate Rate,
+                                TimePoint SentAt) const {
+  const auto Known = Statements.find(Process);
+  const auto Opens = Openings.find(Process);
+  // A lower limit is followed in any case.
+  return Known != Statements.end() && !Known->second.Rate &&
+         Opens != Openings.end() && openRate(Process) &&
+         SentAt < Known->second.SaidAt && Rate >= Opens->second.From;
+}
+
 void UpstreamLimits::record(UpstreamProcess Process, const Statement &Latest,
-                            bool Heard) {
+                            bool Heard, std::optional<RequestRate> Open) {
   if (!Listed.contains(Process))
     return;
   const auto Known = Statements.find(Process);
@@ -119,17 +128,25 @@
   if (Known != Statements.end() &&
       (Heard || Known->second.SaidAt >= Latest.SaidAt))
     return;
-  const bool SameRate =
-      Known != Statements.end() && Known->second.Rate == Latest.Rate;
+  const bool IsNew = Known == Statements.end();
+  const bool SameRate = !IsNew && Known->second.Rate == Latest.Rate;
+  const auto Before = IsNew ? Open : openRate(Process);
   Statements[Process] = Latest;
-  if (!SameRate)
-    update(Process);
+  if (SameRate)
+    return;
+  const auto Named = namedLimit(Process);
+  Openings.erase(Process);
+  if (Before && (!Named || *Named > *Before))
+    Openings.emplace(Process,
+                     Opening{std::max(MinRequestRate, *Before), Time.now()});
+  update(Process);
 }
 
 void UpstreamLimits::update(UpstreamProcess Process) {
   const auto Rate = limitOf(Process);
   if (!Rate) {
     Allowances.erase(Process);
+    Openings.erase(Process);
     return;
   }
   const TimePoint Now = Time.now();
@@ -184,7 +201,7 @@
   const TimePoint Now = Time.now();
   for (const auto &[Process, Reported] : Limits)
     record(Process, {Reported.Rate, Now - Reported.Age, false},
-           !Reported.Direct);
+           !Reported.Direct, Reported.Opening);
   std::erase_if(Statements, [this, Now](const auto &Entry) {
     const auto Age = Now - Entry.second.SaidAt;
     const bool Expired = Age > Retention;
@@ -226,7 +243,7 @@
 
 std::optional<RequestRate>
 UpstreamLimits::limitOf(UpstreamProcess Process) const {
-  const auto Named = namedLimit(Process);
+  const auto Named = openRate(Process);
   const auto Cap = Caps.find(Process);
   if (Cap == Caps.end())
     return Named;
@@ -241,6 +258,19 @@
   return std::max(MinRequestRate, *Found->second.Rate);
 }
 
+std::optional<RequestRate>
+UpstreamLimits::openRate(UpstreamProcess Process) const {
+  const auto Named = namedLimit(Process);
+  const auto Opens = Openings.find(Process);
+  if (Opens == Openings.end())
+    return Named;
+  const auto Elapsed = Time.now() - Opens->second.Since;
+  if (!Named && Elapsed >= RateOpeningTime)
+    return std::nullopt;
+  const RequestRate Rate = openingRate(Opens->second.From, Elapsed);
+  return Named ? std::min(*Named, Rate) : Rate;
+}
+
 std::optional<RequestRate>
 UpstreamLimits::shareOf(UpstreamProcess Process) const {
   const auto Found = Allowances.find(Process);
@@ -279,10 +309,12 @@
   const TimePoint Now = Time.now();
   LimitTable Table;
   for (const auto &[Process, Latest] : Statements)
-    Table.emplace(Process, ReportedLimit{Latest.Rate,
-                                         std::chrono::ceil<Milliseconds>(
-                                             Now - Latest.SaidAt),
-                                         Latest.Own});
+    Table.emplace(
+        Process,
+        ReportedLimit{
+            Latest.Rate, std::chrono::ceil<Milliseconds>(Now - Latest.SaidAt),
+            Latest.Own,
+            Openings.contains(Process) ? openRate(Process) : std::nullopt});
   return Table;
 }
 
--- a/src/scheduling/rate_share.cpp
+++ b/src/scheduling/rate_share.cpp
@@ -41,6 +41,12 @@
 
 } // namespace
 
+RequestRate openingRate(RequestRate From, TimePoint::duration Since) {
+  const double Doublings = std::chrono::duration<double>(Since) /
+                           std::chrono::duration<double>(RateDoublingTime);
+  return RequestRate(From.Value * std::exp2(std::max(0.0, Doublings)));
+}
+
 std::size_t rateHolders(RequestRate Rate) {
   constexpr double MaxHolders = 1e6;
   return 2 + static_cast<std::size_t>(
