Repeat held evidence of crashes for routers that start later

Cause: routers reported a crash for 2 s, to those that were there.

Change: reports repeat the evidence of the 16 features with the most crashes, of other routers too, with the last answer. It adds processes and changes none that is known, counts 500 ms after it came, and not at all if a quarantine has ended since.

Of the eight cases of unit-crash-held-evidence six fail on the code before and all pass now; unit-crash-attribution (24), unit-crash-answered-parts (7) and unit-quarantine (11) pass unchanged.

Conclusion: evidence outlives restarts unless all routers restart at once.

--- a/include/mallowglade/detail/outcomes/crash_attribution.hpp
+++ b/include/mallowglade/detail/outcomes/crash_attribution.hpp
@@ -10,6 +10,7 @@
 #include <optional>
 #include <set>
 #include <string_view>
+#include <utility>
 #include <vector>
 
 namespace mallowglade {
@@ -44,8 +45,10 @@
 ///
 /// Observations are exchanged between routers; a process of an upstream
 /// counts once, however many routers report it, and not at all if it responds
-/// later. Quarantines are kept by all routers and last as long as requests with
-/// the feature come; few of these are let through as probes.
+/// later. Routers repeat the evidence that they hold, of others too, so that
+/// one that starts later knows it. Quarantines are kept by all routers and last
+/// as long as requests with the feature come; few of these are let through as
+/// probes.
 class CrashAttribution {
 public:
   /// Crashes without which no feature is put into quarantine.
@@ -54,6 +57,10 @@
   static constexpr std::size_t MaxQuarantines = 64;
   /// Features and processes with evidence that are kept.
   static constexpr std::size_t MaxEvidence = 512;
+  /// Features of which a report repeats earlier evidence, and processes of
+  /// each.
+  static constexpr std::size_t MaxHeldFeatures = 16;
+  static constexpr std::size_t MaxHeldCrashes = 32;
   /// Time after which evidence and quarantines without requests end.
   static constexpr std::chrono::minutes RetentionTime{30};
   /// Time after which a run that broke off counts as a crash if nothing was
@@ -142,12 +149,17 @@
     /// Runs that broke off on this router, each sent after the one before had.
     std::size_t InSequence = 0;
     TimePoint LastCrashHereAt{};
+    /// Latest time at which another router reported a crash before the answer.
+    TimePoint ContradictedAt{};
   };
   struct ProcessState {
     TimePoint BrokenOffAt{};
     /// Latest response, on any router and on this one.
     TimePoint AliveAt{};
     TimePoint AliveHereAt{};
+    /// Time until which it may still respond, if it became known by evidence
+    /// that another router held.
+    TimePoint SettlesAt{};
     bool Gone = false;
   };
   struct Quarantine {
@@ -155,6 +167,8 @@
     std::uint32_t Probes = 0;
     TimePoint Since{};
     TimePoint LastCrashAt{};
+    /// Time at which this router learned that a quarantine ended.
+    TimePoint EndedAt{};
     /// True if this router has the evidence.
     bool BegunHere = false;
     /// Latest refusal, on any router and on this one.
@@ -180,11 +194,24 @@
 
   void addCrash(const RequestFeature &Feature, UpstreamProcess Process,
                 TimePoint At);
+  /// @brief Adds a crash that another router holds as evidence. It has no
+  /// effect
+  ///   if this router knows the process or has ended a quarantine since.
+  void addHeldCrash(const RequestFeature &Feature, UpstreamProcess Process,
+                    TimePoint At);
   void addAnswered(const RequestFeature &Feature, TimePoint At);
+  /// @brief The same for the last answer that another router knows of.
+  void addHeldAnswer(const RequestFeature &Feature, TimePoint At);
   void addRunEnd(const RequestFeatures &Features, bool BrokenOff);
   void addQuarantine(const RequestFeature &Feature,
                      const QuarantineEntry &Entry);
   void limitFeatures(CrashReport &Report) const;
+  /// @brief Adds the evidence that is older than what routers report at once.
+  void reportHeld(CrashReport &Report) const;
+  /// @return settled crashes of a feature that are no longer reported by the
+  ///   routers that saw them, the latest ones first
+  std::vector<std::pair<TimePoint, UpstreamProcess>>
+  heldCrashes(const Evidence &Known) const;
   /// @return true if crashes suggest that the feature causes them
   bool isSuspect(const RequestFeature &Feature, const Evidence &Known) const;
   /// @return true if a process has responded after a run on it broke off
--- a/src/outcomes/crash_attribution.cpp
+++ b/src/outcomes/crash_attribution.cpp
@@ -17,6 +17,8 @@
 /// crashes after it.
 constexpr Milliseconds AnsweredRetention{10'000};
 constexpr std::size_t MaxReportedFeatures = 96;
+/// A feature with a single crash is not worth repeating.
+constexpr std::size_t MinHeldCrashes = 2;
 constexpr std::size_t MaxAnsweredFeatures = 8'192;
 constexpr std::size_t MaxProcesses = 1'024;
 constexpr std::size_t MaxOwnCrashes = 512;
@@ -123,8 +125,10 @@
   const auto Answered = OwnAnswered.find(Feature);
   if (Answered != OwnAnswered.end())
     Known.AnsweredAt = std::max(Known.AnsweredAt, Answered->second);
-  if (At <= Known.AnsweredAt)
+  if (At <= Known.AnsweredAt) {
+    Known.ContradictedAt = Time.now();
     return;
+  }
   TimePoint &CrashedAt = Known.Crashes[Process];
   CrashedAt = std::max(CrashedAt, At);
   const auto Current = Quarantines.find(Feature);
@@ -132,6 +136,31 @@
     Current->second.LastCrashAt = std::max(Current->second.LastCrashAt, At);
 }
 
+void CrashAttribution::addHeldCrash(const RequestFeature &Feature,
+                                    UpstreamProcess Process, TimePoint At) {
+  // Each router that repeats a report adds its delay to the age, so a crash
+  // that is known must not move.
+  const auto Found = EvidenceByFeature.find(Feature);
+  if (Found != EvidenceByFeature.end() &&
+      Found->second.Crashes.contains(Process))
+    return;
+  const auto Current = Quarantines.find(Feature);
+  if (Current != Quarantines.end() && At <= Current->second.EndedAt)
+    return;
+  const bool IsNew = !Processes.contains(Process);
+  addCrash(Feature, Process, At);
+  // This router and others may have heard of the process since.
+  if (IsNew)
+    Processes[Process].SettlesAt = Time.now() + SettleTime;
+}
+
+void CrashAttribution::addHeldAnswer(const RequestFeature &Feature,
+                                     TimePoint At) {
+  const std::optional<TimePoint> Last = lastAnswered(Feature);
+  if (!Last || At > *Last + LifeMargin)
+    addAnswered(Feature, At);
+}
+
 void CrashAttribution::addAnswered(const RequestFeature &Feature,
                                    TimePoint At) {
   const auto Found = EvidenceByFeature.find(Feature);
@@ -149,6 +178,7 @@
   if (Current->second.Status.quarantined())
     Changes.push_back({Feature, QuarantineChange::Cause::Answered});
   Current->second.Status.clear();
+  Current->second.EndedAt = At;
 }
 
 std::optional<RequestFeature>
@@ -240,6 +270,7 @@
   if (Found == Quarantines.end() || !Found->second.Status.quarantined())
     return false;
   Found->second.Status.clear();
+  Found->second.EndedAt = Time.now();
   EvidenceByFeature.erase(Feature);
   Changes.push_back({Feature, QuarantineChange::Cause::Operator});
   return true;
@@ -268,6 +299,7 @@
   if (Current.Status.quarantined()) {
     Current.Since = Now;
   } else {
+    Current.EndedAt = Now;
     EvidenceByFeature.erase(Feature);
   }
   if (Was != Current.Status.quarantined())
@@ -278,9 +310,14 @@
   const TimePoint Now = Time.now();
   for (const auto &[Feature, Observed] : Report.Features) {
     for (const auto &[Process, Age] : Observed.BrokenOff)
-      addCrash(Feature, Process, Now - Age);
-    if (Observed.AnsweredAge)
+      if (Age <= ReportTime)
+        addCrash(Feature, Process, Now - Age);
+      else
+        addHeldCrash(Feature, Process, Now - Age);
+    if (Observed.AnsweredAge && *Observed.AnsweredAge <= ReportTime)
       addAnswered(Feature, Now - *Observed.AnsweredAge);
+    else if (Observed.AnsweredAge)
+      addHeldAnswer(Feature, Now - *Observed.AnsweredAge);
   }
   for (const auto &[Process, Age] : Report.Alive) {
     const auto Found = Processes.find(Process);
@@ -310,7 +347,7 @@
       Current.Status.clear();
     else
       Current.Status.lapse();
-    Current.RefusedAt = Now;
+    Current.RefusedAt = Current.EndedAt = Now;
     EvidenceByFeature.erase(Feature);
     Changes.push_back({Feature, Refuted ? QuarantineChange::Cause::Refuted
                                         : QuarantineChange::Cause::Quiet});
@@ -335,7 +372,9 @@
       });
   std::erase_if(EvidenceByFeature, [Now](const auto &Entry) {
     return Entry.second.Crashes.empty() &&
-           Now - Entry.second.AnsweredAt > AnsweredRetention;
+           Now - std::max(Entry.second.AnsweredAt,
+                          Entry.second.ContradictedAt) >
+               AnsweredRetention;
   });
   const auto Latest = [](const Evidence &Known) {
     TimePoint At{};
@@ -374,10 +413,12 @@
     const auto Answered = OwnAnswered.find(Feature);
     // Routers that started later need to know it while there is evidence.
     if (Answered != OwnAnswered.end() &&
-        (!Known.Crashes.empty() || Now - Answered->second <= ReportTime))
+        (!Known.Crashes.empty() || Now - Answered->second <= ReportTime ||
+         Now - Known.ContradictedAt <= ReportTime))
       Report.Features[Feature].AnsweredAge = ageAt(Now, Answered->second);
   }
   limitFeatures(Report);
+  reportHeld(Report);
   for (const auto &[Process, State] : Processes)
     if (State.AliveHereAt != TimePoint{} &&
         Now - State.AliveHereAt <= ReportTime)
@@ -391,6 +432,44 @@
   return Report;
 }
 
+std::vector<std::pair<TimePoint, UpstreamProcess>>
+CrashAttribution::heldCrashes(const Evidence &Known) const {
+  const TimePoint Now = Time.now();
+  std::vector<std::pair<TimePoint, UpstreamProcess>> Held;
+  for (const auto &[Process, At] : Known.Crashes)
+    if (Now - At > ReportTime && isCrash(Process, At, false))
+      Held.emplace_back(At, Process);
+  std::sort(Held.rbegin(), Held.rend());
+  if (Held.size() > MaxHeldCrashes)
+    Held.resize(MaxHeldCrashes);
+  return Held;
+}
+
+void CrashAttribution::reportHeld(CrashReport &Report) const {
+  const TimePoint Now = Time.now();
+  std::vector<std::tuple<std::size_t, FeatureKind, RequestFeature>> Ranked;
+  for (const auto &[Feature, Known] : EvidenceByFeature)
+    if (Known.Crashes.size() >= MinHeldCrashes)
+      Ranked.emplace_back(Known.Crashes.size(), Feature.Kind, Feature);
+  std::sort(Ranked.rbegin(), Ranked.rend());
+  if (Ranked.size() > MaxHeldFeatures)
+    Ranked.resize(MaxHeldFeatures);
+  for (const auto &[Crashes, Kind, Feature] : Ranked) {
+    const Evidence &Known = EvidenceByFeature.at(Feature);
+    const auto Held = heldCrashes(Known);
+    if (Held.empty())
+      continue;
+    FeatureObservation &Observed = Report.Features[Feature];
+    for (const auto &[At, Process] : Held)
+      Observed.BrokenOff.try_emplace(Process, ageAt(Now, At));
+    // Without it, a feature that was answered would look like one that was not.
+    const std::optional<TimePoint> Answered = lastAnswered(Feature);
+    if (!Observed.AnsweredAge && Answered)
+      Observed.AnsweredAge =
+          std::max(ageAt(Now, *Answered), ReportTime + Milliseconds(1));
+  }
+}
+
 void CrashAttribution::limitFeatures(CrashReport &Report) const {
   // Those that most routers know crashes of matter most.
   std::vector<std::tuple<std::size_t, FeatureKind, RequestFeature>> Ranked;
--- a/src/outcomes/crash_blame.cpp
+++ b/src/outcomes/crash_blame.cpp
@@ -99,7 +99,9 @@
   const auto Found = Processes.find(Process);
   if (Found == Processes.end() || hasResponded(Process, At))
     return false;
-  return AtOnce || Found->second.Gone || Time.now() - At >= SettleTime;
+  const TimePoint Now = Time.now();
+  return Found->second.Gone ||
+         (Now >= Found->second.SettlesAt && (AtOnce || Now - At >= SettleTime));
 }
 
 std::vector<TimePoint>
