Register replicas of the stand-in only after their start

Cause: a crashed replica got its next id at once, and was registered with it, warm, when the platform wrote again after a restoration.

Change: what has not started registers nothing. The check of cold replicas stays as it is.

Conclusion: the finding was one of the stand-in; processes register themselves.

--- a/tests/standins/standin-model-fleet.cpp
+++ b/tests/standins/standin-model-fleet.cpp
@@ -228,12 +228,17 @@
   }
 
   void report(int Number, const std::string &State) {
+    std::string Id;
     {
       const std::lock_guard<std::mutex> Lock(Mutex);
       States[Number] = State;
+      // A process registers itself, so not before it has started.
+      if (Ended.contains(Number))
+        return;
+      Id = idOf(Number, Generations[Number]);
     }
     Registry.put(
-        "servers/" + idOf(Number),
+        "servers/" + Id,
         {{"service", "pool"},
          {"address", "127.0.0.1:" + std::to_string(Ports[Number] + Offset)},
          {"zone", zoneOf(Number)},
@@ -318,6 +323,7 @@
     {
       const std::lock_guard<std::mutex> Lock(Mutex);
       Servers[Number] = Server;
+      Ended.erase(Number);
     }
     std::thread([Server, Port] { Server->listen("127.0.0.1", Port); }).detach();
     report(Number, "ready");
@@ -354,6 +360,7 @@
       if (Generations[Number] != Generation)
         return;
       ++Generations[Number];
+      Ended.insert(Number);
       ++Crashes;
       Former = Servers[Number];
     }
@@ -463,6 +470,8 @@
   std::map<int, int> Ports;
   std::map<int, std::string> States;
   std::map<int, unsigned> Generations;
+  /// Replicas whose process has crashed and whose next one has not started.
+  std::set<int> Ended;
   std::map<int, std::shared_ptr<httplib::Server>> Servers;
   std::string CrashingPart;
   std::atomic<unsigned> Crashes{0};
