Ask for explanations during the faults of the soak

Cause: explanations were tested without faults only.

Change: the soak asks all routers in turn where a harmful request would go. The order of the faults is unchanged.

--- a/tests/integration/soak.cpp
+++ b/tests/integration/soak.cpp
@@ -8,6 +8,7 @@
 // finding if a promise was broken; logs are kept then.
 
 #include <soak_caller.hpp>
+#include <soak_operator.hpp>
 
 #include <asio.hpp>
 
@@ -224,6 +225,14 @@
     Found.add(fmt::format("{} replicas crashed after {} had", Later, Before));
 }
 
+/// Checks that every router explains its decisions after the faults.
+void checkExplains(Operator &Asking, int Routers, Findings &Found) {
+  for (int Router = 0; Router < Routers; ++Router)
+    if (!fleet::waitUntil([&] { return Asking.ask(Router) == 200; },
+                          ExplanationBound))
+      Found.add(fmt::format("router {} does not explain", Router));
+}
+
 /// Checks that no request went where it may not.
 void checkArrivals(const json &Late, Findings &Found) {
   if (!Late.is_object()) {
@@ -275,6 +284,9 @@
       std::make_unique<Caller>(Fleet, Found, Size.Callers + Size.Routers, Seed);
   std::atomic<bool> StopHarmful{false};
   std::thread HarmfulThread([&] { Harmful->runHarmful(StopHarmful); });
+  Operator Asking(Fleet, Found);
+  std::atomic<bool> StopAsking{false};
+  std::thread AskingThread([&] { Asking.run(StopAsking); });
   for (int At = 0; At < Size.Replicas; ++At)
     Fleet.fault(Deployment::replicaName(At), {{"reset_unframed", true}});
   const auto End = std::chrono::steady_clock::now() + Span;
@@ -295,6 +307,9 @@
   HarmfulThread.join();
   checkAllServe(Probers, "after the faults", Found);
   checkQuarantine(Fleet, *Harmful, Found);
+  StopAsking = true;
+  AskingThread.join();
+  checkExplains(Asking, Size.Routers, Found);
   Stop = true;
   for (std::thread &Each : Threads)
     Each.join();
@@ -313,8 +328,10 @@
   checkArrivals(Fleet.late(), Found);
   if (Served == 0)
     Found.add("no request was served");
-  fmt::print("seed {}: {} requests, {} served, {} crashes, {} findings\n", Seed,
-             Sent, Served, Fleet.crashes(), Found.count());
+  fmt::print("seed {}: {} requests, {} served, {} crashes, {} explanations, "
+             "{} findings\n",
+             Seed, Sent, Served, Fleet.crashes(), Asking.Explained,
+             Found.count());
   return Found.count();
 }
 
--- a/tests/integration/soak_deployment.hpp
+++ b/tests/integration/soak_deployment.hpp
@@ -143,6 +143,7 @@
   int routerPort(int Router) const {
     return FirstRouterPort + PortsPerRouter * Router;
   }
+  int metricsPort(int Router) const { return routerPort(Router) + 4; }
   static std::string replicaName(int At) {
     return fmt::format("replica-{}", At);
   }
