Fill a list of processes in place in a test of crashes

Cause: the linter reports a list that grows in a loop.

Change: the list has its size before it is filled.

Conclusion: no change of what is tested.

--- a/tests/unit-crash-held-evidence.cpp
+++ b/tests/unit-crash-held-evidence.cpp
@@ -156,9 +156,9 @@
   // upstreams, on the others.
   void processThatRespondsIsNoSuspicionAfterARestart() {
     Fleet Play;
-    std::vector<UpstreamProcess> Ended;
-    for (int Count = 0; Count < 4; ++Count)
-      Ended.push_back(Play.crash(0));
+    std::vector<UpstreamProcess> Ended(4);
+    for (UpstreamProcess &Each : Ended)
+      Each = Play.crash(0);
     Play.Time.advance(LongAfter);
     // The link is back; the upstreams answer the other routers.
     for (int Count = 0; Count < 10; ++Count) {
