Share the holders of prefixes without zone choice

Cause: routers told each other which engines have read a prompt prefix only with zone_cost_ms.

Change: PrefixHolders takes effect for services whose engines can fetch cached prefixes if zone_cost_ms is set or an engine states its work time. Without zone choice all engines may be named, those in the zone of the engine that fetches first and those of zones that are not heard from not at all. New lines prefix_sharing_begins and prefix_sharing_ends, new metrics mallowglade_prefixes_known and mallowglade_prefixes_reported.

Conclusion: the part follows from what engines state, not from zones.

--- a/include/mallowglade/detail/dataplane/placement.hpp
+++ b/include/mallowglade/detail/dataplane/placement.hpp
@@ -189,9 +189,16 @@
   /// @brief Records that an engine has begun to answer a request, and so has
   ///   read its prefix.
   void recordPrefixRead(const PlacementQuery &Query, UpstreamProcess Engine);
-  /// @return engines that have read prefixes lately; of use only if zones are
-  ///   distinguished
+  /// @return engines that have read prefixes lately, of services for which
+  ///   routers share this
   PrefixHolders &prefixHolders() { return Holders; }
+  /// @return true if routers tell each other which engines of a service have
+  ///   read a prefix: these can fetch it, and leaving the zone costs something
+  ///   or the engines state how long work takes on their machines
+  bool sharesHolders(const ServiceId &Name) const;
+  /// @brief Sets the zones whose routers are not heard from; no prefixes are
+  ///   fetched from these.
+  void setSilentZones(std::set<ZoneId> Silent);
   /// @return which requests leave the zone; null if zones are not distinguished
   ZoneChoice *zoneChoice() { return Zones ? &*Zones : nullptr; }
   /// @brief Decides whether a request that was not sent before may be sent at
@@ -282,11 +289,15 @@
                               const Candidates &Eligible) const;
   PlacementChoice chooseLessLoaded(const PlacementQuery &Query,
                                    const Candidates &Eligible) const;
-  PlacementChoice chooseZoneFirst(const PlacementQuery &Query, TimePoint Now);
   PlacementChoice chooseZone(const PlacementQuery &Query, TimePoint Now);
-  /// @return true if the request's prefix takes so long to read that routers
-  ///   tell each other which engines have it
+  /// @return true if routers tell each other which engines of a service have
+  ///   read a prefix, as the request's prefix takes long to read
   bool sharesHolders(const PlacementQuery &Query) const;
+  /// @return true if engines here may fetch prefixes from those of a zone
+  bool mayFetchFrom(const ServiceId &Name, const ZoneId &From) const;
+  /// @return true if upstreams of a service state how long work takes on their
+  ///   machines now
+  bool statesWorkTime(const ServiceId &Name) const;
   /// @brief Names the engine to fetch the prefix from, unless the selected one
   ///   has read it lately.
   PlacementChoice withHolder(const PlacementQuery &Query,
@@ -346,6 +357,7 @@
   std::optional<ZoneChoice> Zones;
   PrefixUses Prefixes;
   PrefixHolders Holders;
+  std::set<ZoneId> SilentZones;
   SmallServicePlacement Small;
 };
 
--- a/include/mallowglade/detail/dataplane/prefix_holders.hpp
+++ b/include/mallowglade/detail/dataplane/prefix_holders.hpp
@@ -55,6 +55,8 @@
   /// @return what this router has learned itself and reports now
   std::vector<PrefixPlacement> report();
   std::size_t size() const { return Known.size(); }
+  /// @return placements that this router has reported, each counted once
+  std::uint64_t reportedCount() const { return Reported; }
 
 private:
   struct Holder {
@@ -86,6 +88,7 @@
   Milliseconds Reuse;
   std::unordered_map<std::uint64_t, Holders> Known;
   std::deque<Unsent> Unreported;
+  std::uint64_t Reported = 0;
   TimePoint CleanedAt{};
 };
 
--- a/include/mallowglade/detail/dataplane/stated_loads.hpp
+++ b/include/mallowglade/detail/dataplane/stated_loads.hpp
@@ -30,6 +30,10 @@
   /// @return smoothed time that work takes relative to its usual time, within
   ///   `MinWorkTimeFactor` and `MaxWorkTimeFactor`; 1 if nothing is known
   double workTimeFactor(UpstreamProcess Process) const;
+  /// @return true if the latest statement of a process names its work time
+  bool statesWorkTime(UpstreamProcess Process) const;
+  /// @return true if any statement has named a work time
+  bool anyWorkTime() const { return AnyWorkTime; }
   /// @brief Forgets a process.
   void forget(UpstreamProcess Process) { Statements.erase(Process); }
 
@@ -47,6 +51,7 @@
 
   const Clock &Time;
   std::unordered_map<UpstreamProcess, Statement> Statements;
+  bool AnyWorkTime = false;
 };
 
 } // namespace mallowglade::dataplane
--- a/include/mallowglade/detail/dataplane/traffic.hpp
+++ b/include/mallowglade/detail/dataplane/traffic.hpp
@@ -16,6 +16,7 @@
 
 #include <functional>
 #include <memory>
+#include <set>
 #include <string>
 #include <string_view>
 
@@ -130,6 +131,10 @@
   std::uint64_t LeftZoneForPrefix = 0;
   /// Requests whose engine was told to fetch their prefix from another one.
   std::uint64_t PrefixesFetched = 0;
+  /// Prefixes of which engines that have read them are known, and engines with
+  /// a prefix that this router has told the others.
+  std::uint64_t PrefixesKnown = 0;
+  std::uint64_t PrefixesReported = 0;
   /// Part of the requests for engines that leaves this zone for load, 0 to 1;
   /// the largest of all services.
   double LeavingShare = 0;
@@ -235,7 +240,10 @@
   /// @brief Counts the slow upstreams and logs clear changes of their number.
   void updateSlowUpstreams();
   /// @brief Brings up to date which requests leave the zone, and logs it.
-  void updateZones(ZoneChoice &Zones, const std::set<ZoneId> &Silent);
+  void updateZones(ZoneChoice &Zones);
+  /// @brief Logs for which services routers begin or cease to tell each other
+  ///   which engines have read a prefix.
+  void updatePrefixSharing();
   /// @brief Follows what an upstream says of its limit.
   void observeLimit(const UpstreamRecord &Upstream,
                     const ResponseMetadata &Response, TimePoint SentAt);
@@ -273,6 +281,8 @@
   /// Number of slow upstreams in the last line of the log, and its time.
   std::uint64_t LoggedSlowUpstreams = 0;
   TimePoint SlowUpstreamsLoggedAt{};
+  /// Services for which routers tell each other who has read a prefix.
+  std::set<ServiceId> SharingPrefixes;
   bool DispatchScheduled = false;
   bool RefusingNewRequests = false;
   bool RefusingNewStreams = false;
--- a/include/mallowglade/detail/dataplane/wire_protocol.hpp
+++ b/include/mallowglade/detail/dataplane/wire_protocol.hpp
@@ -45,6 +45,8 @@
   /// Time that work takes on the upstream's machine now, relative to its usual
   /// time.
   double WorkTimeFactor = 1;
+  /// The upstream states its work time; otherwise the usual one is assumed.
+  bool StatesWorkTime = false;
 };
 
 /// @brief Metadata from the header fields of an upstream's response.
--- a/src/dataplane/control_endpoints.cpp
+++ b/src/dataplane/control_endpoints.cpp
@@ -179,6 +179,10 @@
             static_cast<double>(OwnCounters.LeftZoneForPrefix));
   SetMetric("mallowglade_prefixes_fetched",
             static_cast<double>(OwnCounters.PrefixesFetched));
+  SetMetric("mallowglade_prefixes_known",
+            static_cast<double>(OwnCounters.PrefixesKnown));
+  SetMetric("mallowglade_prefixes_reported",
+            static_cast<double>(OwnCounters.PrefixesReported));
   SetMetric("mallowglade_leaving_share_ratio", OwnCounters.LeavingShare);
   SetMetric("mallowglade_unreadable_cold_times",
             static_cast<double>(OwnCounters.UnreadableColdTimes));
--- a/src/dataplane/placement.cpp
+++ b/src/dataplane/placement.cpp
@@ -243,9 +243,11 @@
     return {};
   const TimePoint Now = Time.now();
   Table.decay(Now);
-  if (choosesZoneFirst(Query.Service))
-    return chooseZoneFirst(Query, Now);
-  return chooseAmong(Query, eligible(Query, Now, nullptr));
+  return withHolder(Query,
+                    choosesZoneFirst(Query.Service)
+                        ? chooseZone(Query, Now)
+                        : chooseAmong(Query, eligible(Query, Now, nullptr)),
+                    Now);
 }
 
 Placement::Candidates Placement::rankForPrefix(std::uint64_t Affinity,
--- a/src/dataplane/placement_zones.cpp
+++ b/src/dataplane/placement_zones.cpp
@@ -45,10 +45,30 @@
     Query.PrefixUses = Prefixes.record(*Query.Affinity);
 }
 
+bool Placement::statesWorkTime(const ServiceId &Name) const {
+  if (!Table.statedLoads().anyWorkTime())
+    return false;
+  const auto &Members = Table.upstreamsOf(Name);
+  return std::any_of(
+      Members.begin(), Members.end(), [this](const UpstreamState *State) {
+        return Table.statedLoads().statesWorkTime(State->Process);
+      });
+}
+
+bool Placement::sharesHolders(const ServiceId &Name) const {
+  return canFetchPrefix(Name) && (Zones || statesWorkTime(Name));
+}
+
 bool Placement::sharesHolders(const PlacementQuery &Query) const {
-  return Zones && Query.Affinity && canFetchPrefix(Query.Service) &&
+  return Query.Affinity &&
          PreciseMilliseconds(Query.Work.SharedPrompt / PromptTokensPerMs) >=
-             MinFetchedPrefill;
+             MinFetchedPrefill &&
+         sharesHolders(Query.Service);
+}
+
+bool Placement::mayFetchFrom(const ServiceId &Name, const ZoneId &From) const {
+  return From == Zone || (Zones ? Zones->mayFetchFrom(Name, From)
+                                : !SilentZones.contains(From));
 }
 
 void Placement::recordPrefixRead(const PlacementQuery &Query,
@@ -80,15 +100,18 @@
       continue;
     if (State->Record.Zone == Target.Record.Zone)
       return State;
-    const bool Reachable =
-        State->Record.Zone == Zone ||
-        Zones->mayFetchFrom(Query.Service, State->Record.Zone);
-    if (Elsewhere == nullptr && Reachable)
+    if (Elsewhere == nullptr && mayFetchFrom(Query.Service, State->Record.Zone))
       Elsewhere = State;
   }
   return Elsewhere;
 }
 
+void Placement::setSilentZones(std::set<ZoneId> Silent) {
+  if (Zones)
+    Zones->setSilentZones(Silent);
+  SilentZones = std::move(Silent);
+}
+
 PlacementChoice Placement::withHolder(const PlacementQuery &Query,
                                       PlacementChoice Choice,
                                       TimePoint Now) const {
@@ -141,11 +164,6 @@
   return Choice;
 }
 
-PlacementChoice Placement::chooseZoneFirst(const PlacementQuery &Query,
-                                           TimePoint Now) {
-  return withHolder(Query, chooseZone(Query, Now), Now);
-}
-
 PlacementChoice Placement::chooseZone(const PlacementQuery &Query,
                                       TimePoint Now) {
   updateZoneLoads(Query.Service, Now);
--- a/src/dataplane/prefix_holders.cpp
+++ b/src/dataplane/prefix_holders.cpp
@@ -26,8 +26,10 @@
   if (IsNews && ReportIsFull)
     return;
   *Place = {Engine, Now, IsNews ? Now : Place->ReportedAt};
-  if (IsNews)
-    Unreported.push_back({Prefix, Engine, Now, 0});
+  if (!IsNews)
+    return;
+  Unreported.push_back({Prefix, Engine, Now, 0});
+  ++Reported;
 }
 
 void PrefixHolders::addReported(
--- a/src/dataplane/stated_loads.cpp
+++ b/src/dataplane/stated_loads.cpp
@@ -37,6 +37,12 @@
     Smoothed = Kept * Known->second.WorkTimeFactor + (1 - Kept) * Stated;
   }
   Statements[Process] = {Load, SentAt, Now, Smoothed};
+  AnyWorkTime = AnyWorkTime || Load.StatesWorkTime;
+}
+
+bool StatedLoads::statesWorkTime(UpstreamProcess Process) const {
+  const auto Found = Statements.find(Process);
+  return Found != Statements.end() && Found->second.Load.StatesWorkTime;
 }
 
 std::optional<StatedLoad> StatedLoads::latest(UpstreamProcess Process,
--- a/src/dataplane/traffic.cpp
+++ b/src/dataplane/traffic.cpp
@@ -200,11 +200,11 @@
   Upstreams.cold().setPeers(Sums.Cold);
   Upstreams.limits().setPeers(Sums.Limits, Sums.Members);
   updateCold();
+  Placer.setSilentZones(Sums.SilentZones);
   if (ZoneChoice *Zones = Placer.zoneChoice())
-    updateZones(*Zones, Sums.SilentZones);
+    updateZones(*Zones);
   Placer.smallServices().setPeers(Sums.Offered);
-  if (Placer.zoneChoice() != nullptr)
-    Placer.prefixHolders().addReported(Sums.Prefixes);
+  Placer.prefixHolders().addReported(Sums.Prefixes);
   logSmallServices();
   if (View.Config) {
     const double Fraction = Placer.capacityFraction();
@@ -280,6 +280,7 @@
   Counters.UpstreamsCold = Upstreams.cold().coldCount();
   Counters.UpstreamsLimited = Upstreams.limits().limitedCount();
   updateSlowUpstreams();
+  updatePrefixSharing();
   Counters.SmallServices = Placer.smallServices().status();
   return {Upstreams.ownLoads(),
           Shares.ownUsage(),
--- a/src/dataplane/traffic_state.cpp
+++ b/src/dataplane/traffic_state.cpp
@@ -25,8 +25,7 @@
   Log.write("slow_upstreams_change", {{"slow", std::int64_t(Now)}});
 }
 
-void Traffic::updateZones(ZoneChoice &Zones, const std::set<ZoneId> &Silent) {
-  Zones.setSilentZones(Silent);
+void Traffic::updateZones(ZoneChoice &Zones) {
   Counters.LeavingShare = Zones.largestSum();
   for (const ZoneShareChange &Change : Zones.takeChanges())
     Log.write("zone_share_changes",
@@ -37,6 +36,24 @@
                {"utilization_there", Change.UtilizationThere}});
 }
 
+void Traffic::updatePrefixSharing() {
+  Counters.PrefixesKnown = Placer.prefixHolders().size();
+  Counters.PrefixesReported = Placer.prefixHolders().reportedCount();
+  if (!View.Config)
+    return;
+  for (const Service &Pool : View.Config->Services) {
+    const bool Shares = Placer.sharesHolders(Pool.Name);
+    if (Shares == SharingPrefixes.contains(Pool.Name))
+      continue;
+    if (Shares)
+      SharingPrefixes.insert(Pool.Name);
+    else
+      SharingPrefixes.erase(Pool.Name);
+    Log.write(Shares ? "prefix_sharing_begins" : "prefix_sharing_ends",
+              {{"service", Pool.Name.Value}});
+  }
+}
+
 void Traffic::logSmallServices() {
   for (const SmallServiceChange &Change : Placer.smallServices().takeChanges())
     Log.write(toString(Change.What),
--- a/tests/unit-dataplane-stated-loads.cpp
+++ b/tests/unit-dataplane-stated-loads.cpp
@@ -48,7 +48,10 @@
     CPPUNIT_ASSERT_EQUAL(1U, Load->Waiting);
     CPPUNIT_ASSERT_EQUAL(8U, Load->Slots);
     CPPUNIT_ASSERT_EQUAL(2.5, Load->WorkTimeFactor);
+    CPPUNIT_ASSERT(Load->StatesWorkTime);
+    CPPUNIT_ASSERT(loadOf("3,1,8,100")->StatesWorkTime);
     CPPUNIT_ASSERT_EQUAL(1.0, loadOf("3,1,8")->WorkTimeFactor);
+    CPPUNIT_ASSERT(!loadOf("3,1,8")->StatesWorkTime);
   }
 
   // Guards against a figure that no upstream can mean.
@@ -62,6 +65,7 @@
     for (const char *Text :
          {"3,1,8,0", "3,1,8,-5", "3,1,8,x", "3,1,8,9999999", "3,1,8,100x"}) {
       CPPUNIT_ASSERT_EQUAL(1.0, loadOf(Text)->WorkTimeFactor);
+      CPPUNIT_ASSERT(!loadOf(Text)->StatesWorkTime);
       CPPUNIT_ASSERT(responseWith(Name, Text).LoadUnreadable);
     }
     CPPUNIT_ASSERT(!responseWith(Name, "3,1,8,100").LoadUnreadable);
