Count engines without starts left as full in zone choice

Cause: an engine whose limit of starts is used up, as that of a cold one, did not count in the utilization of its zone. When the engines of a zone came back cold, the few others looked idle, so that requests queued for them although leaving the zone was the only way.

Change: such an engine counts, with a utilization of 1.

Measured: enginesWithoutStartsLeftCountAsFull fails before (share 0.3 not reached) and passes.

Conclusion: what leaves follows from what the zone may start.

--- a/src/dataplane/placement_zones.cpp
+++ b/src/dataplane/placement_zones.cpp
@@ -29,11 +29,14 @@
   Any.Service = Name;
   ZoneLoads Loads;
   for (const UpstreamState *State : Table.upstreamsOf(Name)) {
-    if (!isEligible(*State, Any, Now))
+    const Eligibility Found = eligibility(*State, Any, Now);
+    // What may start no request now has no room, however few run.
+    const bool IsUsedUp = Found == Eligibility::LimitUsedUp;
+    if (Found != Eligibility::Eligible && !IsUsedUp)
       continue;
     ZoneLoad &Load = Loads[State->Record.Zone];
     Load.Upstreams += 1;
-    Load.Utilization += utilization(*State);
+    Load.Utilization += IsUsedUp ? 1 : utilization(*State);
   }
   for (auto &[ZoneName, Load] : Loads)
     Load.Utilization /= Load.Upstreams;
--- a/tests/unit-dataplane-zone-choice.cpp
+++ b/tests/unit-dataplane-zone-choice.cpp
@@ -156,6 +156,7 @@
   CPPUNIT_TEST(prefixesMoveTogether);
   CPPUNIT_TEST(prefixUsesAreBounded);
   CPPUNIT_TEST(requestsStayUnlessFull);
+  CPPUNIT_TEST(enginesWithoutStartsLeftCountAsFull);
   CPPUNIT_TEST(firstUseIsFetchedFromAnotherZone);
   CPPUNIT_TEST(zoneIsSilentWithoutADigest);
   CPPUNIT_TEST(changesAreToldOnceASecond);
@@ -258,6 +259,31 @@
   }
 
   // Guards against prefilling a prefix once more in each zone.
+  // Guards against a zone that looks empty because its engines are cold: what
+  // they may start is used up, and requests queue for the few others.
+  void enginesWithoutStartsLeftCountAsFull() {
+    FakeRouter At(PreciseMilliseconds(10));
+    UpstreamLimits &Limits = At.Table.limits();
+    unsigned Used = 0;
+    for (const UpstreamState *State : At.Table.upstreamsOf(Models)) {
+      if (State->Record.Zone != Zones[0] || Used == 8)
+        continue;
+      ++Used;
+      Limits.recordResponse(State->Process, RequestRate(1), At.Time.now());
+      for (int Start = 0; Start < 50 && Limits.mayStart(State->Process);
+           ++Start)
+        Limits.recordStart(State->Process);
+      CPPUNIT_ASSERT(!Limits.mayStart(State->Process));
+    }
+    for (int Count = 0; Count < 5; ++Count) {
+      At.Time.advance(Milliseconds(100));
+      At.countLeaving(1);
+    }
+    CPPUNIT_ASSERT(At.Placer.zoneChoice()->sumOfShares(Models) > 0.3);
+    CPPUNIT_ASSERT(!At.Placer.zoneChoice()->overflowZones(Models).empty());
+    CPPUNIT_ASSERT(At.countLeaving(1'000) > 60);
+  }
+
   void firstUseIsFetchedFromAnotherZone() {
     FakeRouter Router(Cost);
     unsigned Fetched = 0;
