Mend what the reviews of the merged parts found

Cause: two reviews found: a pool counted as exhausted for a window after its capacity rose, and backlogs were judged by a lower level also where the pool is not exhausted; a limit that a float does not hold (3.7) differed between responses and reports, so that a late response brought an ended limit back; an engine that is cold counted as a holder of a prefix, and a home in a silent zone was named; held crashes could pass between routers beyond their retention, and features were ranked by crashes that are not told.

--- a/include/mallowglade/detail/dataplane/fair_share.hpp
+++ b/include/mallowglade/detail/dataplane/fair_share.hpp
@@ -77,8 +77,8 @@
   /// @return false while a backlogged workspace is served clearly less
   bool mayExceedShare(WorkspaceKey Key);
   /// @brief Tells whether the pool leaves requests unmet though it does far
-  ///   less than stated. Limits of engines that follow from the stated capacity
-  ///   do not show then what an engine can spare.
+  ///   less than stated. Limits of engines that follow from
+  ///   the stated capacity do not show then what an engine can spare.
   bool poolExhausted() const { return Exhausted; }
   /// @return tokens admitted in the window divided by the share; 0 if shares
   ///   are disabled
@@ -112,6 +112,10 @@
   double Level = 0;
   bool CapacityReduced = false;
   bool Exhausted = false;
+  double LastStated = 0;
+  /// Time from which the window shows what the pool does: the stated capacity
+  /// has risen less than the window before.
+  TimePoint SettledAt{};
   /// Smallest fraction of the share admitted for any backlogged workspace.
   double LeastFill = 0;
 };
--- a/include/mallowglade/detail/dataplane/prefix_holders.hpp
+++ b/include/mallowglade/detail/dataplane/prefix_holders.hpp
@@ -55,7 +55,8 @@
   /// @return what this router has learned itself and reports now
   std::vector<PrefixPlacement> report();
   std::size_t size() const { return Known.size(); }
-  /// @return placements that this router has reported, each counted once
+  /// @return placements that this router has begun to report, those that are
+  ///   reported anew after a while included
   std::uint64_t reportedCount() const { return Reported; }
 
 private:
--- a/include/mallowglade/detail/outcomes/crash_attribution.hpp
+++ b/include/mallowglade/detail/outcomes/crash_attribution.hpp
@@ -194,13 +194,13 @@
 
   void addCrash(const RequestFeature &Feature, UpstreamProcess Process,
                 TimePoint At);
-  /// @brief Adds a crash that another router holds as evidence. It has no
-  /// effect
-  ///   if this router knows the process or has ended a quarantine since.
+  /// @brief Adds a crash that another router holds as evidence, unless this
+  ///   router knows the process or has ended a quarantine since.
   void addHeldCrash(const RequestFeature &Feature, UpstreamProcess Process,
                     TimePoint At);
   void addAnswered(const RequestFeature &Feature, TimePoint At);
-  /// @brief The same for the last answer that another router knows of.
+  /// @brief Adds the last answer to a request with the feature that another
+  ///   router knows of.
   void addHeldAnswer(const RequestFeature &Feature, TimePoint At);
   void addRunEnd(const RequestFeatures &Features, bool BrokenOff);
   void addQuarantine(const RequestFeature &Feature,
--- a/src/dataplane/fair_share.cpp
+++ b/src/dataplane/fair_share.cpp
@@ -19,6 +19,9 @@
 /// Fraction of its stated capacity below which a pool that leaves requests
 /// unmet counts as exhausted.
 constexpr double ExhaustedFraction = 0.5;
+/// Factor by which the stated capacity rises if it counts as another one, for
+/// example at the end of an evacuation.
+constexpr double ClearRise = 1.1;
 
 bool leavesUnmet(const WorkspaceUsage &Usage) {
   return Usage.Unmet * (FairShare::Window / FairShare::BacklogWindow) >
@@ -123,12 +126,16 @@
   const double Stated =
       TokensPerSecond * std::chrono::duration<double>(Window).count();
   Level = maxMinLevel(Demands, std::max(Total.Admitted, Stated));
-  const bool LeavesUnmet = leavesUnmet(Total);
-  Exhausted = LeavesUnmet && Total.Admitted < ExhaustedFraction * Stated;
+  const TimePoint Now = Time.now();
+  if (LastStated > 0 && Stated > ClearRise * LastStated)
+    SettledAt = Now + Window;
+  LastStated = Stated;
+  Exhausted = Now >= SettledAt && leavesUnmet(Total) &&
+              Total.Admitted < ExhaustedFraction * Stated;
   // Shares of a stated capacity that the pool does not have are larger than any
   // demand.
   const double BacklogLevel =
-      LeavesUnmet ? maxMinLevel(std::move(Demands), Total.Admitted) : Level;
+      Exhausted ? maxMinLevel(std::move(Demands), Total.Admitted) : Level;
   LeastFill = std::numeric_limits<double>::infinity();
   for (const auto &[Key, Usage] : FleetUsage)
     if (leavesUnmet(Usage) && Usage.Demand > BacklogFraction * BacklogLevel)
--- a/src/dataplane/placement_zones.cpp
+++ b/src/dataplane/placement_zones.cpp
@@ -120,12 +120,17 @@
                                       TimePoint Now) const {
   if (Choice.Upstream == nullptr || !sharesHolders(Query))
     return Choice;
-  if (Holders.holds(*Query.Affinity, Choice.Upstream->Process)) {
+  const UpstreamState &Target = *Choice.Upstream;
+  if (Holders.holds(*Query.Affinity, Target.Process) &&
+      !Table.cold().isCold(Target.Process)) {
     Choice.PrefixCached = true;
     Choice.FetchFrom = nullptr;
-  } else if (const UpstreamState *Holder =
-                 holderFor(Query, *Choice.Upstream, Now)) {
+  } else if (const UpstreamState *Holder = holderFor(Query, Target, Now)) {
     Choice.FetchFrom = Holder;
+  } else if (Choice.FetchFrom != nullptr &&
+             Choice.FetchFrom->Record.Zone != Target.Record.Zone &&
+             !mayFetchFrom(Query.Service, Choice.FetchFrom->Record.Zone)) {
+    Choice.FetchFrom = nullptr;
   }
   return Choice;
 }
--- a/src/dataplane/upstream_limits.cpp
+++ b/src/dataplane/upstream_limits.cpp
@@ -83,6 +83,9 @@
   const auto Known = Statements.find(Process);
   if (!Rate && (Known == Statements.end() || !Known->second.Rate))
     return LimitChange::None;
+  // As reports round it, so that the same rate is equal whoever tells it.
+  if (Rate)
+    Rate = RequestRate(static_cast<float>(Rate->Value));
   if (Rate && isOutdated(Process, *Rate, SentAt))
     return LimitChange::None;
   const TimePoint Now = Time.now();
--- a/src/outcomes/crash_attribution.cpp
+++ b/src/outcomes/crash_attribution.cpp
@@ -19,6 +19,8 @@
 constexpr std::size_t MaxReportedFeatures = 96;
 /// A feature with a single crash is not worth repeating.
 constexpr std::size_t MinHeldCrashes = 2;
+/// Longer than reports take, however often they are repeated.
+constexpr std::chrono::minutes ForgettingMargin{1};
 constexpr std::size_t MaxAnsweredFeatures = 8'192;
 constexpr std::size_t MaxProcesses = 1'024;
 constexpr std::size_t MaxOwnCrashes = 512;
@@ -138,8 +140,8 @@
 
 void CrashAttribution::addHeldCrash(const RequestFeature &Feature,
                                     UpstreamProcess Process, TimePoint At) {
-  // Each router that repeats a report adds its delay to the age, so a crash
-  // that is known must not move.
+  // Ages leave out the time that a report takes, so each repetition would make
+  // a crash seem later: one that is known must not move.
   const auto Found = EvidenceByFeature.find(Feature);
   if (Found != EvidenceByFeature.end() &&
       Found->second.Crashes.contains(Process))
@@ -436,8 +438,11 @@
 CrashAttribution::heldCrashes(const Evidence &Known) const {
   const TimePoint Now = Time.now();
   std::vector<std::pair<TimePoint, UpstreamProcess>> Held;
+  // What is about to be forgotten is not told: another router would forget it
+  // later and tell it again.
   for (const auto &[Process, At] : Known.Crashes)
-    if (Now - At > ReportTime && isCrash(Process, At, false))
+    if (Now - At > ReportTime && Now - At < RetentionTime - ForgettingMargin &&
+        isCrash(Process, At, false))
       Held.emplace_back(At, Process);
   std::sort(Held.rbegin(), Held.rend());
   if (Held.size() > MaxHeldCrashes)
@@ -450,15 +455,13 @@
   std::vector<std::tuple<std::size_t, FeatureKind, RequestFeature>> Ranked;
   for (const auto &[Feature, Known] : EvidenceByFeature)
     if (Known.Crashes.size() >= MinHeldCrashes)
-      Ranked.emplace_back(Known.Crashes.size(), Feature.Kind, Feature);
+      if (const auto Held = heldCrashes(Known); !Held.empty())
+        Ranked.emplace_back(Held.size(), Feature.Kind, Feature);
   std::sort(Ranked.rbegin(), Ranked.rend());
   if (Ranked.size() > MaxHeldFeatures)
     Ranked.resize(MaxHeldFeatures);
   for (const auto &[Crashes, Kind, Feature] : Ranked) {
-    const Evidence &Known = EvidenceByFeature.at(Feature);
-    const auto Held = heldCrashes(Known);
-    if (Held.empty())
-      continue;
+    const auto Held = heldCrashes(EvidenceByFeature.at(Feature));
     FeatureObservation &Observed = Report.Features[Feature];
     for (const auto &[At, Process] : Held)
       Observed.BrokenOff.try_emplace(Process, ageAt(Now, At));
--- a/tests/unit-crash-held-evidence.cpp
+++ b/tests/unit-crash-held-evidence.cpp
@@ -238,7 +238,8 @@
   }
 
   // Guards against crashes that move past the time at which a process
-  // responded, since each repetition adds the delay of a report.
+  // responded, since each repetition leaves the delay of a report out of its
+  // age.
   void agesDoNotDriftWithRepetition() {
     Fleet Play;
     const std::vector<UpstreamProcess> Ended = Play.crashAtOnce();
--- a/tests/unit-dataplane-exhausted-pool.cpp
+++ b/tests/unit-dataplane-exhausted-pool.cpp
@@ -144,6 +144,7 @@
   CPPUNIT_TEST(workspaceAtOneRouterIsNotCrowdedOut);
   CPPUNIT_TEST(modestBacklogHoldsBackOthersOfAnExhaustedPool);
   CPPUNIT_TEST(modestBacklogHoldsBackNobodyElsewhere);
+  CPPUNIT_TEST(poolIsNotExhaustedWhenItsCapacityRises);
   CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -174,14 +175,24 @@
     CPPUNIT_ASSERT(floodMayExceed(0));
   }
 
+  // Guards against a pool that seems exhausted since its capacity has come back
+  // a moment ago, for example at the end of an evacuation.
+  void poolIsNotExhaustedWhenItsCapacityRises() {
+    CPPUNIT_ASSERT(
+        floodMayExceed(4 * TokensPerSecond, StatedTokensPerSecond / 2));
+  }
+
 private:
   /// @param FloodUnmet tokens refused to the workspace that asks for most
-  static bool floodMayExceed(double FloodUnmet) {
+  /// @param StatedBefore capacity that was stated a moment before
+  static bool floodMayExceed(double FloodUnmet,
+                             double StatedBefore = StatedTokensPerSecond) {
     const WorkspaceKey Flood(1);
     const WorkspaceKey Modest(2);
     ManualClock Time;
     FairShare Shares(Time);
     constexpr double WindowTokens = 4 * TokensPerSecond;
+    Shares.update(StatedBefore);
     Shares.recordDemand(Flood, WindowTokens + FloodUnmet);
     Shares.recordAdmitted(Flood, WindowTokens);
     Shares.recordUnmet(Flood, FloodUnmet);
--- a/tests/unit-dataplane-zone-choice.cpp
+++ b/tests/unit-dataplane-zone-choice.cpp
@@ -258,7 +258,6 @@
     }
   }
 
-  // Guards against prefilling a prefix once more in each zone.
   // Guards against a zone that looks empty because its engines are cold: what
   // they may start is used up, and requests queue for the few others.
   void enginesWithoutStartsLeftCountAsFull() {
@@ -284,6 +283,7 @@
     CPPUNIT_ASSERT(At.countLeaving(1'000) > 60);
   }
 
+  // Guards against prefilling a prefix once more in each zone.
   void firstUseIsFetchedFromAnotherZone() {
     FakeRouter Router(Cost);
     unsigned Fetched = 0;
