--- a/review/6/case.py
+++ b/review/6/case.py
@@ -1,14 +1,13 @@
 """All routers restart after the store has come back from a copy.
 
 TROUBLE=0 leaves out both disruptions, TROUBLE=drill and TROUBLE=kill play only
-one of them.
+one of them. ERA0 is the first value of Store-Era.
 """
 
 import asyncio
 import os
 import signal
 import sys
-import tempfile
 
 HERE = os.path.dirname(os.path.abspath(__file__))
 sys.path.insert(0, os.path.join(HERE, "..", "standins-2"))
@@ -39,6 +38,7 @@
 async def main(directory):
     record = Record(os.path.join(HERE, "record.txt"))
     store = Store()
+    store.era = int(os.environ.get("ERA0", "0"))
     await store.start()
     replicas = [Replica(store, "board", "i-%d" % n, record, serve) for n in range(4)]
     for replica in replicas:
@@ -127,9 +127,10 @@
             requests.append(asyncio.create_task(request(number)))
             await asyncio.sleep(max(0, number / PER_SECOND - clock()))
         await asyncio.gather(*requests)
-        if any(router.process.returncode is not None for router in routers):
+        ended = [r for r in routers if r.process.returncode is not None]
+        if ended:
             print("a router has ended by itself")
-            return 1
+            return 2 if any(router.could_not_bind() for router in ended) else 1
 
         def share(first, last):
             found = [served for sent, served in outcomes if first <= sent < last]
@@ -150,6 +151,4 @@
             await router.end()
 
 
-with tempfile.TemporaryDirectory() as folder:
-    STATUS = asyncio.run(main(folder))
-sys.exit(STATUS)
+run_case(main)
--- a/review/standins-2/fleet.py
+++ b/review/standins-2/fleet.py
@@ -9,11 +9,15 @@
 import base64
 import json
 import os
+import random
 import re
 import signal
 import socket
 import sys
+import tempfile
 import time
+import tomllib
+from urllib.parse import parse_qs
 
 ROOT = os.path.abspath(os.path.join(os.path.dirname(__file__), "..", ".."))
 START = time.monotonic()
@@ -24,22 +28,23 @@
     return time.monotonic() - START
 
 
-def free_port(kind=socket.SOCK_STREAM):
-    with socket.socket(socket.AF_INET, kind) as probe:
-        probe.bind(("127.0.0.1", 0))
-        return probe.getsockname()[1]
-
-
-def free_port_pair():
-    """First of two ports that are free, the first for UDP, the next for TCP."""
+def free_ports(count):
+    """First of some consecutive ports that are free, below those that the
+    system hands out for connections, so that a restarted router gets them."""
     while True:
-        port = free_port(socket.SOCK_DGRAM)
-        with socket.socket() as probe:
-            try:
-                probe.bind(("127.0.0.1", port + 1))
-                return port
-            except OSError:
-                continue
+        first = random.randrange(20000, 32000)
+        probes = []
+        try:
+            for port in range(first, first + count):
+                for kind in (socket.SOCK_STREAM, socket.SOCK_DGRAM):
+                    probes.append(socket.socket(socket.AF_INET, kind))
+                    probes[-1].bind(("127.0.0.1", port))
+            return first
+        except OSError:
+            continue
+        finally:
+            for probe in probes:
+                probe.close()
 
 
 class Head:
@@ -107,7 +112,6 @@
         self.next_lease = 7000
         self.changed = asyncio.Event()
         self.down = False
-        self.calls = 0
         self.era = 0
         self.copied = None
 
@@ -168,7 +172,6 @@
             while True:
                 head = await read_head(reader)
                 body = await read_body(reader, head)
-                self.calls += 1
                 if self.down:
                     status, answer = 503, {}
                 else:
@@ -186,7 +189,6 @@
     async def answer(self, first, body):
         method, target, _ = first.split(" ")
         path, _, query = target.partition("?")
-        from urllib.parse import parse_qs
         args = {k: v[-1] for k, v in parse_qs(query, keep_blank_values=True).items()}
         data = json.loads(body) if body else {}
         if path == "/mallowglade/kv-range":
@@ -251,42 +253,6 @@
                 pass
 
 
-class Gate:
-    """Proxy before the store for one router: open, busy, reset or silent."""
-
-    def __init__(self, store):
-        self.store, self.mode = store, "open"
-
-    async def start(self):
-        self.server = await asyncio.start_server(self.serve, "127.0.0.1", 0)
-        self.address = "127.0.0.1:%d" % self.server.sockets[0].getsockname()[1]
-
-    async def serve(self, reader, writer):
-        try:
-            while True:
-                head = await read_head(reader)
-                body = await read_body(reader, head)
-                if self.mode == "reset":
-                    writer.transport.abort()
-                    return
-                if self.mode == "silent":
-                    await asyncio.sleep(3600)
-                status, answer = 503, {}
-                if self.mode == "open" and not self.store.down:
-                    status, answer = await self.store.answer(head.first, body)
-                if self.mode == "silent":
-                    await asyncio.sleep(3600)
-                text = json.dumps(answer).encode()
-                writer.write(b"HTTP/1.1 %d X\r\nContent-Type: application/json\r\n"
-                             b"Store-Era: %d\r\nContent-Length: %d\r\n\r\n%s" %
-                             (status, self.store.era, len(text), text))
-                await writer.drain()
-        except (asyncio.IncompleteReadError, ConnectionError, asyncio.CancelledError):
-            pass
-        finally:
-            writer.close()
-
-
 class Replica:
     """A server of a service. `work` decides how a request is answered."""
 
@@ -294,10 +260,7 @@
         self.store, self.service, self.id, self.record = store, service, name, record
         self.work, self.slots, self.zone = work, slots, zone
         self.runs = []          # (id, method, target, body, head)
-        self.ended = {}         # id -> how the run ended
         self.state = "ready"
-        self.connections = set()
-        self.lease = None
 
     async def start(self, port=0):
         self.server = await asyncio.start_server(self.serve, "127.0.0.1", port, limit=1 << 20)
@@ -312,7 +275,6 @@
             "cold_remaining_ms": 0, "sequence": 1})
 
     async def serve(self, reader, writer):
-        self.connections.add(writer)
         try:
             while True:
                 head = await read_head(reader)
@@ -321,7 +283,6 @@
         except (asyncio.IncompleteReadError, ConnectionError, asyncio.CancelledError):
             pass
         finally:
-            self.connections.discard(writer)
             writer.close()
 
     async def request(self, head, reader, writer):
@@ -346,11 +307,6 @@
                 "Mallowglade-Replica-Signature": "%s.%s" % (self.id, attempt),
                 "Mallowglade-Replica-Load": "1,0,%d" % self.slots}
 
-    async def stop(self):
-        self.server.close()
-        for writer in list(self.connections):
-            writer.transport.abort()
-
 
 async def respond(writer, status, fields, body):
     text = "HTTP/1.1 %d X\r\n" % status
@@ -415,20 +371,19 @@
     """A router process, started as the deploy file says."""
 
     def __init__(self, directory, store, name, zone="zone-a", limits=None):
-        import tomllib
         with open(os.path.join(ROOT, "deploy", "system.toml"), "rb") as file:
             self.role = tomllib.load(file)["roles"]["router"]
         self.directory, self.name = directory, name
-        self.ports = {k: free_port() for k in ("frontend", "readiness", "registry")}
-        self.peer_port = free_port_pair()
+        first = free_ports(5)
+        self.ports = {"frontend": first, "readiness": first + 1, "registry": first + 2}
+        self.peer_port = first + 3
         at = lambda port: "127.0.0.1:%d" % port
         self.fields = {
             "node_name": name, "zone": zone, "zones": {"zone-a": "r", "zone-b": "r"},
             "ip": "127.0.0.1", "heartbeat_ms": 1200,
             "listen": {k: at(p) for k, p in self.ports.items()},
             "internal_ports": [self.peer_port, self.peer_port + 1],
-            "platform": {"address": store if isinstance(store, str) else store.address,
-                         "history_s": 20},
+            "platform": {"address": store.address, "history_s": 20},
             "bounds": {"revoke_ms": 5000, "drain_ms": 2000, "grace_s": 8, "ttl_max_s": 5,
                        "retry_budget_ratio": 0.2, "retry_budget_slack": 56,
                        "budget_window_s": 10},
@@ -461,6 +416,11 @@
             self.process.kill()
             await self.process.wait()
 
+    def could_not_bind(self):
+        """True if the process ended because another program has its ports."""
+        with open(self.log, encoding="utf-8", errors="replace") as file:
+            return "Address already in use" in file.read()
+
     async def ready(self, timeout=8):
         end = now() + timeout
         while now() < end:
@@ -508,3 +468,19 @@
     if body or method == "POST":
         text += "Content-Length: %d\r\n" % len(body)
     return text.encode() + b"\r\n" + body
+
+
+def run_case(main):
+    """Runs a case in a temporary folder; ends its routers on SIGTERM, too."""
+    async def guarded(folder):
+        task = asyncio.current_task()
+        asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, task.cancel)
+        return await main(folder)
+
+    with tempfile.TemporaryDirectory() as folder:
+        try:
+            status = asyncio.run(guarded(folder))
+        except (OSError, asyncio.CancelledError) as error:
+            print("the case could not run: %r" % error)
+            status = 2
+    sys.exit(status)
